--- /dev/null
+++ b/src/wisteriaworks/__init__.py
@@ -0,0 +1,1 @@
+"""Query tier over many shards."""
--- /dev/null
+++ b/src/wisteriaworks/errors.py
@@ -0,0 +1,135 @@
+"""The closed list of error kinds, the answer to each, and the exceptions.
+
+Every refusal that a caller or an operator sees carries one of these kinds.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RunState(Enum):
+    """Say whether the request that failed ran on a backend server."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """Name each way in which a request or an operator's change can fail."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    CALLER_FORBIDDEN = "caller_forbidden"
+    UNKNOWN_SEARCH = "unknown_search"
+    REQUEST_ID_REUSED = "request_id_reused"
+    REQUEST_ID_EXPIRED = "request_id_expired"
+    DEADLINE_PASSED = "deadline_passed"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    OVERLOADED = "overloaded"
+    ENTRY_FENCED = "entry_fenced"
+    ENTRY_STOPPING = "entry_stopping"
+    NO_SNAPSHOT = "no_snapshot"
+    INSUFFICIENT_COVERAGE = "insufficient_coverage"
+    BACKEND_REFUSED = "backend_refused"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CONTROL_UNAVAILABLE = "control_unavailable"
+    CONFIGURATION_INVALID = "configuration_invalid"
+    CONFIGURATION_CONFLICT = "configuration_conflict"
+    INTERNAL_ERROR = "internal_error"
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """Hold what a kind means to whoever receives it.
+
+    ``retry_safe`` says whether sending the request again under a new request
+    id cannot make it run twice.
+    """
+
+    http_status: int
+    run_state: RunState
+    retry_safe: bool
+
+
+_NOT_RUN, _RAN, _UNKNOWN = RunState.NOT_RUN, RunState.RAN, RunState.UNKNOWN
+
+# For idempotent searches a deadline that passes half-way has run on some
+# servers, so the run state of DEADLINE_EXCEEDED is "unknown".
+ERROR_ANSWERS = {
+    ErrorKind.MALFORMED_REQUEST: ErrorAnswer(400, _NOT_RUN, True),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, _NOT_RUN, True),
+    ErrorKind.UNAUTHENTICATED: ErrorAnswer(401, _NOT_RUN, True),
+    ErrorKind.CALLER_FORBIDDEN: ErrorAnswer(403, _NOT_RUN, True),
+    ErrorKind.UNKNOWN_SEARCH: ErrorAnswer(404, _NOT_RUN, True),
+    ErrorKind.REQUEST_ID_REUSED: ErrorAnswer(409, _NOT_RUN, True),
+    ErrorKind.REQUEST_ID_EXPIRED: ErrorAnswer(410, _UNKNOWN, False),
+    ErrorKind.DEADLINE_PASSED: ErrorAnswer(504, _NOT_RUN, True),
+    ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, _UNKNOWN, False),
+    ErrorKind.OVERLOADED: ErrorAnswer(429, _NOT_RUN, True),
+    ErrorKind.ENTRY_FENCED: ErrorAnswer(503, _NOT_RUN, True),
+    ErrorKind.ENTRY_STOPPING: ErrorAnswer(503, _NOT_RUN, True),
+    ErrorKind.NO_SNAPSHOT: ErrorAnswer(503, _NOT_RUN, True),
+    ErrorKind.INSUFFICIENT_COVERAGE: ErrorAnswer(503, _RAN, False),
+    ErrorKind.BACKEND_REFUSED: ErrorAnswer(503, _NOT_RUN, True),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, _UNKNOWN, False),
+    ErrorKind.CONTROL_UNAVAILABLE: ErrorAnswer(503, _UNKNOWN, False),
+    ErrorKind.CONFIGURATION_INVALID: ErrorAnswer(422, _NOT_RUN, True),
+    ErrorKind.CONFIGURATION_CONFLICT: ErrorAnswer(409, _NOT_RUN, True),
+    ErrorKind.INTERNAL_ERROR: ErrorAnswer(500, _UNKNOWN, False),
+}
+
+
+class WisteriaError(Exception):
+    """Base of all errors that the programs report to their users."""
+
+    exit_code = 1
+
+    def __init__(self, message):
+        super().__init__(message)
+        self.message = message
+
+
+class SettingsError(WisteriaError):
+    """Report a settings file that cannot be used."""
+
+    exit_code = 2
+
+
+class DocumentError(WisteriaError):
+    """Report a configuration document that is not valid."""
+
+    exit_code = 3
+
+
+class ControlError(WisteriaError):
+    """Report that no control member answered as the leader in time."""
+
+    exit_code = 4
+
+
+class ConflictError(WisteriaError):
+    """Report that another operator changed the configuration first."""
+
+    exit_code = 5
+
+
+class RequestError(WisteriaError):
+    """Carry the error kind of one refused request."""
+
+    def __init__(self, kind, message, run_state=None):
+        super().__init__(message)
+        self.kind = kind
+        self.run_state = run_state or ERROR_ANSWERS[kind].run_state
+
+
+class RpcError(WisteriaError):
+    """Report that a peer did not answer a message.
+
+    ``sent`` is false only when no byte of the message left this process.
+    """
+
+    def __init__(self, message, sent):
+        super().__init__(message)
+        self.sent = sent
