--- /dev/null
+++ b/src/wisteriaworks/events.py
@@ -0,0 +1,59 @@
+"""Numbered log events.
+
+Numbers are stable: operators may search and alert by them. docs/events.md
+lists all of them, and a test compares the two.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+from loguru import logger
+
+
+class _Spec(NamedTuple):
+    number: int
+    level: str
+    text: str
+
+
+class Event(Enum):
+    """Name each event that the programs log."""
+
+    # 1xx: processes
+    PROCESS_STARTED = _Spec(101, "INFO", "process started")
+    PROCESS_STOPPING = _Spec(102, "INFO", "stop requested")
+    PROCESS_STOPPED = _Spec(103, "INFO", "process stopped")
+    HANDLER_FAILED = _Spec(104, "ERROR", "a message handler failed")
+    STOP_TIMED_OUT = _Spec(105, "ERROR", "stop took too long")
+    # 2xx: entry and control sessions
+    SESSION_OPENED = _Spec(201, "INFO", "session opened")
+    SESSION_LOST = _Spec(202, "WARNING", "session lost")
+    CONFIGURATION_ADOPTED = _Spec(203, "INFO", "configuration adopted")
+    ENTRY_FENCED = _Spec(204, "WARNING", "entry fenced: configuration not confirmed")
+    ENTRY_UNFENCED = _Spec(205, "INFO", "entry serves again")
+    CONTROL_UNREACHABLE = _Spec(206, "WARNING", "no control member answers")
+    # 3xx: holding backend servers
+    SERVER_HELD = _Spec(301, "INFO", "server held")
+    SERVER_RELEASED = _Spec(302, "INFO", "server released")
+    SERVER_STATE_CHANGED = _Spec(303, "INFO", "server state changed")
+    SERVER_RAMP_RESET = _Spec(304, "WARNING", "concurrency limit of a server reset")
+    CONNECTION_SILENT = _Spec(305, "WARNING", "connection to a server went silent")
+    # 4xx: requests
+    REQUEST_FAILED = _Spec(401, "WARNING", "request failed")
+    REQUEST_PARTIAL = _Spec(402, "INFO", "answer is partial")
+    REQUEST_UNKNOWN = _Spec(403, "WARNING", "outcome of a request is unknown")
+    # 5xx: control
+    LEADER_ELECTED = _Spec(501, "INFO", "this member leads")
+    LEADER_LOST = _Spec(502, "WARNING", "this member no longer leads")
+    MEMBERS_CHANGED = _Spec(503, "INFO", "control members changed")
+    SNAPSHOT_WRITTEN = _Spec(504, "INFO", "state snapshot written")
+    LOG_TAIL_CUT = _Spec(505, "WARNING", "damaged tail of the log cut")
+    CONFIGURATION_ACCEPTED = _Spec(506, "INFO", "configuration accepted")
+    SESSION_CLOSED = _Spec(507, "INFO", "session closed")
+    SERVERS_ASSIGNED = _Spec(508, "INFO", "servers assigned")
+
+
+def log_event(event, **fields):
+    """Log an event with its fields."""
+    number, level, text = event.value
+    logger.bind(event=number, **fields).log(level, text)
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,122 @@
+"""Guard against mixed-up, lost or endless calls between processes."""
+
+import functools
+
+import pytest
+import trio
+
+from wisteriaworks import rpc
+from wisteriaworks.errors import RpcError
+from wisteriaworks.framing import (
+    Frame,
+    FrameError,
+    FrameKind,
+    FrameReader,
+    pack_frame,
+)
+from wisteriaworks.generated.messages import NotLeader, ReadStatus
+from wisteriaworks.generated.subqueries import Acknowledged, CancelAttempts
+
+
+@pytest.mark.parametrize("step", [1, 3, 1000])
+def test_reader_rebuilds_frames_from_any_split(step):
+    frames = [Frame(n, FrameKind.REPLY, b"x" * n) for n in range(20)]
+    data = b"".join(map(pack_frame, frames))
+    reader = FrameReader()
+    pieces = [data[at : at + step] for at in range(0, len(data), step)]
+    assert [f for piece in pieces for f in reader.feed(piece)] == frames
+
+
+@pytest.mark.parametrize("data", [b"\xff" * 9, b"\0" * 8 + b"\x63"])
+def test_reader_refuses_garbage(data):
+    with pytest.raises(FrameError):
+        FrameReader().feed(data)
+
+
+@pytest.fixture
+async def connect(nursery):
+    async def start(handlers):
+        server = rpc.RpcServer(handlers)
+        listeners = await nursery.start(server.serve, "127.0.0.1:0")
+        port = listeners[0].socket.getsockname()[1]
+        return server, rpc.Channel(f"127.0.0.1:{port}")
+
+    return start
+
+
+async def _echo_later(message, send):
+    await trio.sleep(0.02 / (1 + len(message.attempts)))
+    return NotLeader(leader=message.batch_id)
+
+
+async def test_replies_out_of_order_reach_their_own_calls(connect):
+    _, channel = await connect({CancelAttempts: _echo_later})
+    replies = {}
+
+    async def call(count):
+        message = CancelAttempts(batch_id=str(count), attempts=tuple(range(count)))
+        replies[count] = (await channel.call(message, 2.0)).leader
+
+    async with channel, trio.open_nursery() as calls:
+        for count in range(10):
+            calls.start_soon(call, count)
+        await trio.sleep(0)
+    assert replies == {count: str(count) for count in range(10)}
+
+
+async def test_unknown_peer_fails_without_sending():
+    async with rpc.Channel("127.0.0.1:1") as channel:
+        with pytest.raises(RpcError) as caught:
+            await channel.call(ReadStatus(), 0.5)
+    assert caught.value.sent is False
+
+
+async def test_leaving_a_stream_cancels_the_handler(connect):
+    cancelled = trio.Event()
+
+    async def handler(message, send):
+        send(Acknowledged())
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.set()
+
+    _, channel = await connect({ReadStatus: handler})
+    async with channel:
+        async with channel.stream(ReadStatus(), 5.0) as replies:
+            assert await anext(replies) == Acknowledged()
+        with trio.fail_after(5):
+            await cancelled.wait()
+
+
+async def test_handler_failure_reaches_the_caller_and_spares_the_connection(connect):
+    async def fail(message, send):
+        raise ValueError("broken")
+
+    _, channel = await connect({ReadStatus: fail, CancelAttempts: _echo_later})
+    async with channel:
+        with pytest.raises(RpcError, match="broken"):
+            await channel.call(ReadStatus(), 1.0)
+        reply = await channel.call(CancelAttempts(batch_id="a", attempts=()), 1.0)
+        assert reply.leader == "a"
+
+
+async def test_silent_connection_is_closed_and_replaced(autojump_clock, nursery):
+    """A peer that accepts and never answers must not hold calls for good."""
+    # Real sockets need real time before the clock may jump.
+    autojump_clock.autojump_threshold = 0.05
+    accepted = []
+
+    async def swallow(stream):
+        accepted.append(stream)
+        await trio.sleep_forever()
+
+    serve = functools.partial(trio.serve_tcp, swallow, 0, host="127.0.0.1")
+    listeners = await nursery.start(serve)
+    port = listeners[0].socket.getsockname()[1]
+    async with rpc.Channel(f"127.0.0.1:{port}") as channel:
+        for _ in range(2):
+            with pytest.raises(RpcError) as caught:
+                await channel.call(ReadStatus(), 3600.0)
+            assert caught.value.sent is True
+    assert len(accepted) == 2
