--- /dev/null
+++ b/src/wisteriaworks/emulated_server.py
@@ -0,0 +1,235 @@
+"""Model one backend server: slots, queue, cold start, drain and snapshots."""
+
+import collections
+import functools
+import math
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+import xxhash
+
+from wisteriaworks.backend_protocol import SnapshotBody, StatusBody, SubqueryBody
+from wisteriaworks.generated.emulator import Counters
+
+MAX_RECORDED_EXECUTIONS = 200_000
+
+
+class Refusal(Enum):
+    """Name the reasons for which a server refuses a sub-query."""
+
+    SHEDDING = "shedding"
+    DRAINING = "draining"
+    COLD = "cold"
+    SNAPSHOT_GONE = "snapshot_gone"
+    UNKNOWN_SHARD = "unknown_shard"
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """Hold one accepted sub-query. ``started_at`` is None while it waits."""
+
+    body: SubqueryBody
+    service_s: float
+    incarnation: str
+    started_at: float | None = None
+
+
+@functools.lru_cache(maxsize=1024)
+def list_hits(index, hits, query, partition_map):
+    """Return the hits of a query by shard, each list as JSON.
+
+    A hit depends only on index and query, and its shard on its id, so that a
+    repartitioned index has the same hits over its new shards.
+    """
+    digest = xxhash.xxh3_64_intdigest(index.encode() + b"\0" + query)
+    by_shard = {shard: [] for shard in partition_map}
+    for number in range(hits):
+        key = xxhash.xxh3_64_intdigest(number.to_bytes(4, "big"), seed=digest)
+        shard = partition_map[key % len(partition_map)]
+        by_shard[shard].append(_make_hit(index, key))
+    return {shard: msgspec.json.encode(found) for shard, found in by_shard.items()}
+
+
+def _make_hit(index, key):
+    name = f"{index}-{key:016x}"
+    return {
+        "id": name,
+        "score": (key >> 16) % 10_000 / 10_000,
+        "fields": {"name": name},
+    }
+
+
+@dataclass
+class EmulatedServer:
+    """Decide what one server does with each sub-query; does no I/O."""
+
+    name: str
+    index: str
+    hits: int
+    profile: object
+    rng: object
+    snapshots: dict = field(default_factory=dict)
+    counters: Counters = field(default_factory=Counters)
+    slow_factor: float = 1.0
+    claimed_state: str = ""
+    draining: bool = False
+    cold: bool = False
+
+    def __post_init__(self):
+        self._counts = collections.Counter()
+        self._executions = {}
+        self._running = set()
+        self._waiting = collections.deque()
+        self._busy_s = 0.0
+        self._collapsed_until = -math.inf
+        self._starts = 0
+        self.incarnation = ""
+        self.restart()
+        self.cold = self.profile.start_cold
+
+    @property
+    def outstanding(self):
+        """Return the number of sub-queries that run or wait."""
+        return len(self._running) + len(self._waiting)
+
+    @property
+    def capacity(self):
+        """Return how many sub-queries the server bears at once."""
+        if not self.cold:
+            return math.inf
+        steps = int(self._busy_s / self.profile.cold.step_busy_s)
+        return self.profile.cold.capacity + steps
+
+    def restart(self):
+        """Begin a new incarnation, cold and with nothing to do."""
+        self._starts += 1
+        self.incarnation = f"{self.name}#{self._starts}"
+        self._running.clear()
+        self._waiting.clear()
+        self.draining = False
+        self.make_cold()
+
+    def make_cold(self):
+        """Become cold without a new incarnation."""
+        self.cold = True
+        self._busy_s = 0.0
+
+    def collapse(self, now):
+        """Refuse everything for a while, then be cold in a new incarnation."""
+        self.restart()
+        self._collapsed_until = now + self.profile.cold.collapse_s
+
+    def admit(self, body, now):
+        """Return a Job, which may have to wait, or a Refusal."""
+        self._counts["received"] += 1
+        refusal = self._find_refusal(body, now)
+        if refusal is not None:
+            self._counts["shed"] += refusal in (Refusal.SHEDDING, Refusal.COLD)
+            return refusal
+        job = Job(body, self._draw_service_s(), self.incarnation)
+        if len(self._running) < self.profile.slots:
+            self._start(job, now)
+        else:
+            self._waiting.append(job)
+        self._note_concurrency()
+        return job
+
+    def finish(self, job, now, outcome="run"):
+        """Take a job out and return the job that starts in its place, if any.
+
+        ``outcome`` names the counter: run, cancelled or expired.
+        """
+        self._counts[outcome] += 1
+        if job in self._waiting:
+            self._waiting.remove(job)
+            return None
+        if job not in self._running:
+            return None
+        self._running.discard(job)
+        self._warm_up(now - job.started_at)
+        if not self._waiting:
+            return None
+        following = self._waiting.popleft()
+        self._start(following, now)
+        return following
+
+    def results(self, job):
+        """Return the hits of a job as JSON."""
+        partition_map = self.snapshots[job.body.snapshot].partition_map
+        query = bytes(job.body.query)
+        return list_hits(self.index, self.hits, query, partition_map)[job.body.shard]
+
+    def status(self):
+        """Return what the status endpoint says, true or not."""
+        state = "draining" if self.draining else "cold" if self.cold else "ready"
+        return StatusBody(
+            incarnation=self.incarnation,
+            state=self.claimed_state or state,
+            snapshots=tuple(self.snapshots.values()),
+        )
+
+    def add_snapshot(self, snapshot, partition_map, shards):
+        """Serve shards of another snapshot too."""
+        self.snapshots[snapshot] = SnapshotBody(snapshot, partition_map, shards)
+
+    def count(self, name):
+        """Add one to a counter."""
+        self._counts[name] += 1
+
+    def read_counters(self):
+        """Return the counters."""
+        return Counters(**self._counts, executions=self._executions)
+
+    def _find_refusal(self, body, now):
+        if self.draining:
+            self._counts["received_after_drain"] += 1
+            return Refusal.DRAINING
+        if now < self._collapsed_until:
+            return Refusal.SHEDDING
+        held = self.snapshots.get(body.snapshot)
+        if held is None:
+            return Refusal.SNAPSHOT_GONE
+        if body.shard not in held.shards:
+            return Refusal.UNKNOWN_SHARD
+        if self.outstanding + 1 > self.capacity:
+            return self._violate(now)
+        if self.outstanding >= self.profile.slots + self.profile.queue:
+            return Refusal.SHEDDING
+        return None
+
+    def _violate(self, now):
+        self._counts["violations"] += 1
+        if self.profile.cold.refuses:
+            return Refusal.COLD
+        self.collapse(now)
+        return Refusal.SHEDDING
+
+    def _draw_service_s(self):
+        service = self.profile.service
+        median_s = service.median_ms / 1000.0
+        drawn = self.rng.lognormvariate(math.log(median_s), service.sigma)
+        if self.rng.random() < service.straggler_probability:
+            drawn *= service.straggler_factor
+        if self.cold:
+            drawn *= self.profile.cold.latency_factor
+        return drawn * self.slow_factor
+
+    def _start(self, job, now):
+        job.started_at = now
+        self._running.add(job)
+        request_id = job.body.request.partition("/")[0]
+        key = f"{request_id}/{job.body.shard}"
+        self._executions[key] = self._executions.get(key, 0) + 1
+        if len(self._executions) > MAX_RECORDED_EXECUTIONS:
+            del self._executions[next(iter(self._executions))]
+
+    def _warm_up(self, busy_s):
+        if not self.cold:
+            return
+        self._busy_s += busy_s
+        self.cold = self.capacity < self.profile.slots
+
+    def _note_concurrency(self):
+        name = "highest_cold" if self.cold else "highest_warm"
+        self._counts[name] = max(self._counts[name], self.outstanding)
--- /dev/null
+++ b/src/wisteriaworks/served_server.py
@@ -0,0 +1,191 @@
+"""Serve one emulated server on its own port."""
+
+import functools
+
+import h11
+import msgspec
+import trio
+
+from wisteriaworks import backend_protocol as protocol
+from wisteriaworks.emulated_server import Refusal
+from wisteriaworks.emulator_http import HttpConnection, make_reply
+from wisteriaworks.rpc import split_address
+
+_STATUSES = {Refusal.SNAPSHOT_GONE: 409, Refusal.UNKNOWN_SHARD: 404}
+REFUSED_STATUS = 503
+EXPIRED_STATUS = 504
+CANCELLED_STATUS = 499
+_DECODE_SUBQUERY = msgspec.json.Decoder(protocol.SubqueryBody).decode
+_DECODE_CANCEL = msgspec.json.Decoder(protocol.CancelBody).decode
+
+
+class ServedServer:
+    """Run the connections of one emulated server."""
+
+    def __init__(self, model, address):
+        self.model = model
+        self.address = address
+        self.answering = True
+        self._connections = {}
+        self._scopes = {}
+        self._alive = True
+        self._listening = trio.CancelScope()
+        self._revived = trio.Event()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Listen while the server is alive, until cancelled."""
+        started = task_status.started
+        while True:
+            with self._listening:
+                await self._listen(started)
+            started = _ignore
+            await self._revived.wait()
+
+    def kill(self):
+        """Close the port and all connections at once."""
+        self._alive = False
+        self._revived = trio.Event()
+        self._listening.cancel()
+
+    def restart(self):
+        """Listen again as a new, cold incarnation."""
+        self.model.restart()
+        self._abandon_jobs()
+        if not self._alive:
+            self._alive = True
+            self._listening = trio.CancelScope()
+            self._revived.set()
+
+    def collapse(self):
+        """Break all running work and refuse everything for a while."""
+        self.model.collapse(trio.current_time())
+        self._abandon_jobs()
+
+    def drop(self):
+        """Break the connections on which work runs."""
+        for conn, scope in self._connections.items():
+            if conn.busy:
+                scope.cancel()
+
+    def silence_connections(self):
+        """Never answer again on the connections that are open now."""
+        for conn in self._connections:
+            conn.silent = True
+
+    async def _listen(self, started):
+        host, port = split_address(self.address)
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=1024)
+        port = listeners[0].socket.getsockname()[1]
+        self.address = f"{host}:{port}"
+        async with trio.open_nursery() as nursery:
+            started()
+            await trio.serve_listeners(self._accept, listeners, handler_nursery=nursery)
+
+    async def _accept(self, stream):
+        self.model.count("opened")
+        conn = HttpConnection(stream)
+        if len(self._connections) >= self.model.profile.connections:
+            await trio.aclose_forcefully(stream)
+            return
+        with trio.CancelScope() as scope:
+            self._connections[conn] = scope
+            try:
+                await trio.sleep(self.model.profile.open_ms / 1000.0)
+                await conn.serve(functools.partial(self._handle, conn))
+            except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+                pass
+            finally:
+                del self._connections[conn]
+                await trio.aclose_forcefully(stream)
+
+    async def _handle(self, conn, req):
+        if conn.silent or not self.answering:
+            await conn.read_until_closed()
+            return None
+        match req.method, req.target:
+            case b"POST", protocol.SUBQUERY_TARGET:
+                return await self._run(conn, _DECODE_SUBQUERY(req.body))
+            case b"POST", protocol.CANCEL_TARGET:
+                return self._cancel(_DECODE_CANCEL(req.body).request)
+            case b"GET", protocol.STATUS_TARGET:
+                return make_reply(200, self.model.status())
+        return make_reply(404, protocol.RefusalBody("unknown_target"))
+
+    async def _run(self, conn, body):
+        now = trio.current_time()
+        before = self.model.incarnation
+        accepted = self.model.admit(body, now)
+        if self.model.incarnation != before:
+            self._abandon_jobs()
+        if isinstance(accepted, Refusal):
+            return self._refuse(accepted)
+        return await self._wait(conn, accepted, now + body.timeout_ms / 1000.0)
+
+    async def _wait(self, conn, job, expires_at):
+        scope = self._scopes[job] = trio.CancelScope(deadline=expires_at)
+        self._set_deadline(job)
+        closed = False
+        try:
+            with scope:
+                await conn.read_until_closed()
+                closed = True
+        finally:
+            outcome = self._end(job, closed, expires_at)
+        if closed or job.incarnation != self.model.incarnation:
+            return None
+        return self._reply(job, outcome)
+
+    def _set_deadline(self, job):
+        if job.started_at is None:
+            return
+        scope = self._scopes[job]
+        scope.deadline = min(scope.deadline, job.started_at + job.service_s)
+
+    def _end(self, job, closed, expires_at):
+        del self._scopes[job]
+        now = trio.current_time()
+        ends_at = None if job.started_at is None else job.started_at + job.service_s
+        if not closed and ends_at is not None and ends_at <= now:
+            outcome = "run"
+        elif not closed and now >= expires_at:
+            outcome = "expired"
+        else:
+            outcome = "cancelled"
+        following = self.model.finish(job, now, outcome)
+        if following is not None:
+            self._set_deadline(following)
+        return outcome
+
+    def _reply(self, job, outcome):
+        incarnation = self.model.incarnation
+        if outcome == "run":
+            answer = protocol.AnswerBody(
+                msgspec.Raw(self.model.results(job)),
+                job.body.shard,
+                job.body.snapshot,
+                incarnation,
+            )
+            return make_reply(200, answer)
+        status = EXPIRED_STATUS if outcome == "expired" else CANCELLED_STATUS
+        return make_reply(status, protocol.RefusalBody(outcome, incarnation))
+
+    def _refuse(self, refusal):
+        status = _STATUSES.get(refusal, REFUSED_STATUS)
+        body = protocol.RefusalBody(refusal.value, self.model.incarnation)
+        return make_reply(status, body)
+
+    def _cancel(self, request):
+        found = [job for job in self._scopes if job.body.request == request]
+        for job in found:
+            self._scopes[job].cancel()
+        return make_reply(200, {"cancelled": len(found)})
+
+    def _abandon_jobs(self):
+        """Break the work of earlier incarnations, which may have run in part."""
+        for job, scope in self._scopes.items():
+            if job.incarnation != self.model.incarnation:
+                scope.cancel()
+
+
+def _ignore():
+    pass
