Add the configuration document's checks and wisteria config

Exit codes 6 (entries lag), 7 (change refused) and 8 (entry gave no answer) are new.

Tried in tests against a fake control leader: lost answers, resending by hand after the version moved on, competing changes, lagging entries, errors inside a nursery. Not tried: the real control client, which is not written yet.

--- /dev/null
+++ b/src/wisteriaworks/cli.py
@@ -0,0 +1,66 @@
+"""The operators' program ``wisteria``."""
+
+import itertools
+import sys
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
+
+from wisteriaworks import cli_config
+from wisteriaworks.errors import SettingsError, WisteriaError
+
+_MODULES = (cli_config,)
+
+
+def main(argv=None):
+    """Run the command in ``argv`` and exit with its code."""
+    sys.exit(run(sys.argv[1:] if argv is None else argv))
+
+
+def run(argv):
+    """Run the command in ``argv`` and return its exit code."""
+    app = create_application()
+    try:
+        return app.run(ArgvInput(["wisteria", *_complete_group(app, argv)]))
+    except WisteriaError as exc:
+        return _report(exc)
+    except CleoError as exc:
+        return _report(SettingsError(str(exc)))
+    except BaseExceptionGroup as group:
+        return _report(_find_known_error(group))
+
+
+def create_application():
+    """Return the cleo application with all commands."""
+    app = Application("wisteria")
+    app.auto_exits(False)
+    app.catch_exceptions(False)
+    for command in itertools.chain.from_iterable(m.COMMANDS for m in _MODULES):
+        app.add(command())
+    return app
+
+
+def _complete_group(app, argv):
+    """Let ``wisteria config`` list the commands of its group."""
+    words = [word for word in argv if not word.startswith("-")]
+    if len(words) == 1 and words[0] in app.get_namespaces():
+        return ["list", *words]
+    return argv
+
+
+def _find_known_error(group):
+    """Return the error that a nursery of the control client has wrapped."""
+    known, other = group.split(WisteriaError)
+    if known is None or other is not None:
+        raise group
+    while isinstance(known, BaseExceptionGroup):
+        known = known.exceptions[0]
+    return known
+
+
+def _report(exc):
+    """Write the error as one line and return its exit code."""
+    line = " ".join(exc.message.split())
+    print(f"wisteria: {line}", file=sys.stderr)
+    return exc.exit_code
--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -98,10 +98,17 @@
 
 
 class DocumentError(WisteriaError):
-    """Report a configuration document that is not valid."""
+    """Report a configuration document that is not valid.
+
+    ``problems`` has one text per problem, if the document could be read.
+    """
 
     exit_code = 3
 
+    def __init__(self, message, problems=()):
+        super().__init__(message)
+        self.problems = problems
+
 
 class ControlError(WisteriaError):
     """Report that no control member answered as the leader in time."""
@@ -115,6 +122,24 @@
     exit_code = 5
 
 
+class LagError(WisteriaError):
+    """Report entries that have not adopted a configuration in time."""
+
+    exit_code = 6
+
+
+class RefusedError(WisteriaError):
+    """Report a change that control refused."""
+
+    exit_code = 7
+
+
+class EntryError(WisteriaError):
+    """Report that an entry's admin address gave no usable answer."""
+
+    exit_code = 8
+
+
 class RequestError(WisteriaError):
     """Carry the error kind of one refused request."""
 
--- /dev/null
+++ b/tests/fake_control.py
@@ -0,0 +1,103 @@
+"""An in-memory control leader for tests of the operators' commands."""
+
+import msgspec
+
+from wisteriaworks.errors import ControlError
+from wisteriaworks.generated.messages import (
+    ChangeMembers,
+    ChangeMembersReply,
+    ConfigurationReply,
+    EntryState,
+    EntryStatus,
+    MemberStatus,
+    ProposeConfiguration,
+    ProposeResult,
+    ReadConfiguration,
+    ReadStatus,
+    Route,
+    ServerState,
+    StatusReply,
+)
+
+
+class FakeControl:
+    """Keep one configuration with compare-and-set and operation ids.
+
+    ``lose_answers`` answers are lost after the change took effect;
+    ``competing`` documents are put in force just before the next proposals;
+    ``adopted`` has the version each entry reports, "latest" for the current.
+    """
+
+    def __init__(self, document, version=1):
+        self.document = document
+        self.version = version
+        self.results = {}
+        self.lose_answers = 0
+        self.competing = []
+        self.adopted = {"e1": "latest", "e2": "latest"}
+        self.member_problem = ""
+        self.member_changes = {}
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        pass
+
+    async def call(self, message, timeout_s):
+        match message:
+            case ReadConfiguration():
+                return self._answer(ProposeResult.ACCEPTED)
+            case ProposeConfiguration():
+                return self._propose(message)
+            case ChangeMembers():
+                return self._change_members(message)
+            case ReadStatus():
+                return self._status()
+
+    def _answer(self, result):
+        return ConfigurationReply(result, self.version, self.document)
+
+    def _propose(self, message):
+        if self.competing:
+            self.document = self.competing.pop(0)
+            self.version += 1
+        if message.operation_id not in self.results:
+            self.results[message.operation_id] = self._decide(message)
+        self._lose_answer()
+        return self.results[message.operation_id]
+
+    def _decide(self, message):
+        if message.expected_version != self.version:
+            return self._answer(ProposeResult.CONFLICT)
+        self.document = message.document
+        self.version += 1
+        return msgspec.structs.replace(
+            self._answer(ProposeResult.ACCEPTED), document=None
+        )
+
+    def _change_members(self, message):
+        self.member_changes[message.operation_id] = message
+        self._lose_answer()
+        problem = self.member_problem
+        return ChangeMembersReply(accepted=not problem, problem=problem)
+
+    def _lose_answer(self):
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise ControlError("no control member answered in time")
+
+    def _status(self):
+        entries = tuple(
+            self._entry(number, name, version)
+            for number, (name, version) in enumerate(self.adopted.items(), 1)
+        )
+        members = (MemberStatus("c1/aa", "127.0.0.1:1", True, 9),)
+        route = Route("s1", 1, "127.0.0.1:3", 4, ServerState.READY, False, ())
+        return StatusReply("c1/aa", 3, 9, self.version, members, entries, (route,))
+
+    def _entry(self, session, name, version):
+        version = self.version if version == "latest" else version
+        return EntryStatus(
+            name, "d1", "127.0.0.1:3", session, EntryState.ACTIVE, version, 20, 7
+        )
