Add wisteria domain, member, status and caller

Cause: operators take domains out and return them while others change the configuration, so these commands read, edit and compare-and-set, and start again from the current document after a conflict. The state that goes out is the same whatever the number of tries.

A drain that leaves a replica set without a domain in service is a warning, not a refusal: in an incident it can be the right thing to do.

--- a/src/wisteriaworks/cli.py
+++ b/src/wisteriaworks/cli.py
@@ -7,10 +7,10 @@
 from cleo.exceptions import CleoError
 from cleo.io.inputs.argv_input import ArgvInput
 
-from wisteriaworks import cli_config
+from wisteriaworks import cli_caller, cli_config, cli_domain, cli_member, cli_status
 from wisteriaworks.errors import SettingsError, WisteriaError
 
-_MODULES = (cli_config,)
+_MODULES = (cli_config, cli_domain, cli_status, cli_member, cli_caller)
 
 
 def main(argv=None):
--- a/src/wisteriaworks/cli_common.py
+++ b/src/wisteriaworks/cli_common.py
@@ -21,7 +21,7 @@
 
 CONTROL_OPTION = option(
     "control",
-    description=f"Control members as HOST:PORT[,HOST:PORT...]; "
+    description="Control members as HOST:PORT[,HOST:PORT...], HOST an IP address; "
     f"the default is the environment variable {CONTROL_VARIABLE}.",
     flag=False,
 )
--- a/src/wisteriaworks/cli_config.py
+++ b/src/wisteriaworks/cli_config.py
@@ -129,18 +129,15 @@
 
     def _report_unchanged(self, base, expected):
         if expected != base.version:
-            raise _conflict(base.version, expected)
+            raise create_conflict(base.version, expected)
         self.write_text(f"nothing to change in version {base.version}")
         return base.version
 
     def _check_reply(self, reply, base, message):
-        match reply.result:
-            case ProposeResult.CONFLICT:
-                _write_both_sides(self, reply, base, message)
-                raise _conflict(reply.version, message.expected_version)
-            case ProposeResult.INVALID:
-                problems = "; ".join(reply.problems)
-                raise DocumentError(f"control refused the document: {problems}")
+        check_invalid(reply)
+        if reply.result is ProposeResult.CONFLICT:
+            _write_both_sides(self, reply, base, message)
+            raise create_conflict(reply.version, message.expected_version)
 
 
 async def read_configuration(client):
@@ -183,7 +180,15 @@
     write_changes(command, f"Your changes to version {base.version}:", yours)
 
 
-def _conflict(version, expected):
+def check_invalid(reply):
+    """Raise DocumentError if control found the proposed document not valid."""
+    if reply.result is ProposeResult.INVALID:
+        problems = "; ".join(reply.problems)
+        raise DocumentError(f"control refused the document: {problems}")
+
+
+def create_conflict(version, expected):
+    """Return the error for a change that builds on another version."""
     return ConflictError(
         f"the configuration is at version {version}, expected {expected}; "
         "this change was not accepted"
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from wisteriaworks import cli_common, cli_wait
 from wisteriaworks.errors import ControlError
 from wisteriaworks.generated.messages import (
     ChangeMembers,
@@ -20,6 +21,16 @@
 )
 
 
+def install(monkeypatch, document, version=1):
+    """Return a control leader that the commands reach for the rest of the test."""
+    fake = FakeControl(document, version)
+    monkeypatch.setattr(cli_common, "open_client", lambda addresses: fake)
+    monkeypatch.setattr(cli_common, "RESEND_DELAY_S", 0)
+    monkeypatch.setattr(cli_wait, "POLL_INTERVAL_S", 0)
+    monkeypatch.setenv(cli_common.CONTROL_VARIABLE, "127.0.0.1:1")
+    return fake
+
+
 class FakeControl:
     """Keep one configuration with compare-and-set and operation ids.
 
@@ -77,7 +88,7 @@
         )
 
     def _change_members(self, message):
-        self.member_changes[message.operation_id] = message
+        self.member_changes.setdefault(message.operation_id, []).append(message)
         self._lose_answer()
         problem = self.member_problem
         return ChangeMembersReply(accepted=not problem, problem=problem)
@@ -93,8 +104,11 @@
             for number, (name, version) in enumerate(self.adopted.items(), 1)
         )
         members = (MemberStatus("c1/aa", "127.0.0.1:1", True, 9),)
-        route = Route("s1", 1, "127.0.0.1:3", 4, ServerState.READY, False, ())
-        return StatusReply("c1/aa", 3, 9, self.version, members, entries, (route,))
+        members += (MemberStatus("c2/bb", "127.0.0.1:2", False, 4),)
+        held = Route("s1", 1, "127.0.0.1:3", 4, ServerState.READY, True, ())
+        free = Route("s2", 0, "", 5, ServerState.UNKNOWN, False, ())
+        servers = (free, held)
+        return StatusReply("c1/aa", 3, 9, self.version, members, entries, servers)
 
     def _entry(self, session, name, version):
         version = self.version if version == "latest" else version
--- a/tests/test_cli_config.py
+++ b/tests/test_cli_config.py
@@ -1,11 +1,11 @@
 """Guard against changes applied twice, over another's, or without a check."""
 
+import fake_control
 import msgspec
 import pytest
-from fake_control import FakeControl
 from test_configuration import VALID
 
-from wisteriaworks import cli_common, cli_wait
+from wisteriaworks import cli_common
 from wisteriaworks.cli import run
 from wisteriaworks.configuration import parse_document, set_domain_state
 from wisteriaworks.generated.document import DomainState
@@ -15,12 +15,7 @@
 
 @pytest.fixture
 def control(monkeypatch):
-    fake = FakeControl(parse_document(VALID))
-    monkeypatch.setattr(cli_common, "open_client", lambda addresses: fake)
-    monkeypatch.setattr(cli_common, "RESEND_DELAY_S", 0)
-    monkeypatch.setattr(cli_wait, "POLL_INTERVAL_S", 0)
-    monkeypatch.setenv(cli_common.CONTROL_VARIABLE, "127.0.0.1:1")
-    return fake
+    return fake_control.install(monkeypatch, parse_document(VALID))
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/test_cli_member.py
@@ -0,0 +1,42 @@
+"""Guard against a member change sent twice as two changes, and hidden refusals."""
+
+import fake_control
+import pytest
+
+from wisteriaworks.cli import run
+from wisteriaworks.generated.document import Document
+from wisteriaworks.generated.messages import MemberAction
+
+
+@pytest.fixture
+def control(monkeypatch):
+    return fake_control.install(monkeypatch, Document())
+
+
+@pytest.mark.parametrize(
+    ("words", "action", "address"),
+    [
+        (["add", "c4/dd", "127.0.0.1:4"], MemberAction.ADD_LEARNER, "127.0.0.1:4"),
+        (["promote", "c4/dd"], MemberAction.PROMOTE, ""),
+        (["remove", "c4/dd"], MemberAction.REMOVE, ""),
+    ],
+)
+def test_a_lost_answer_is_resent_under_one_operation_id(
+    control, words, action, address
+):
+    control.lose_answers = 1
+    assert run(["member", *words]) == 0
+    (sent,) = control.member_changes.values()
+    assert len(sent) == 2
+    assert {(m.action, m.id, m.address) for m in sent} == {(action, "c4/dd", address)}
+
+
+def test_refusal_gives_controls_reason(control, capsys):
+    control.member_problem = "c4/dd is 12 entries behind"
+    assert run(["member", "promote", "c4/dd"]) == 7
+    assert "12 entries behind" in capsys.readouterr().err
+
+
+def test_address_is_checked_before_sending(control):
+    assert run(["member", "add", "c4/dd", "localhost:4"]) == 2
+    assert control.member_changes == {}
