Add the burn report and explanations of requests

Cause: operators must see whether promises to callers are kept before the callers tell them, and why one answer was slow or partial.

burn.py counts answers by objective and minute in arrays of fixed length and rates the burn over 5 minutes to 3 days. Minutes are exchanged by age, so that entries whose clocks differ can be summed. Counts are dropped when a latency threshold changes, because counts against two thresholds cannot be added. The library list has no plotting library, so jinja2 writes the SVG bars.

Not tried: the entries' admin endpoints, which another part serves.

--- a/src/wisteriaworks/cli.py
+++ b/src/wisteriaworks/cli.py
@@ -7,10 +7,24 @@
 from cleo.exceptions import CleoError
 from cleo.io.inputs.argv_input import ArgvInput
 
-from wisteriaworks import cli_caller, cli_config, cli_domain, cli_member, cli_status
+from wisteriaworks import (
+    cli_caller,
+    cli_config,
+    cli_domain,
+    cli_member,
+    cli_report,
+    cli_status,
+)
 from wisteriaworks.errors import SettingsError, WisteriaError
 
-_MODULES = (cli_config, cli_domain, cli_status, cli_member, cli_caller)
+_MODULES = (
+    cli_config,
+    cli_domain,
+    cli_status,
+    cli_member,
+    cli_caller,
+    cli_report,
+)
 
 
 def main(argv=None):
--- /dev/null
+++ b/src/wisteriaworks/cli_report.py
@@ -0,0 +1,124 @@
+"""The commands ``wisteria report burn`` and ``wisteria explain``."""
+
+from pathlib import Path
+
+import trio
+import uuid_utils
+from cleo.helpers import argument, option
+
+from wisteriaworks.burn import sum_reports
+from wisteriaworks.burn_report import list_table_rows, render_page
+from wisteriaworks.cli_common import ToolCommand, parse_addresses
+from wisteriaworks.entry_reports import read_reports
+from wisteriaworks.errors import EntryError, SettingsError
+from wisteriaworks.generated.reports import BurnReport, Explanation
+
+_ENTRY_OPTION = option(
+    "entry",
+    description="Admin addresses of the entries as HOST:PORT[,HOST:PORT...], "
+    "HOST an IP address.",
+    flag=False,
+)
+
+
+class _EntryCommand(ToolCommand):
+    def read_reports(self, path, kind):
+        """Return one reply per entry in ``--entry``. Raises SettingsError."""
+        text = self.option("entry")
+        if not text:
+            raise SettingsError("give --entry with the admin addresses of the entries")
+        # An entry that is listed twice must not be counted twice.
+        addresses = tuple(dict.fromkeys(parse_addresses(text, "--entry")))
+        return trio.run(read_reports, addresses, path, kind)
+
+
+class ReportBurnCommand(_EntryCommand):
+    name = "report burn"
+    description = "Show how fast the error budgets burn, summed over entries."
+    options = (
+        _ENTRY_OPTION,
+        option("html", description="Write an HTML page to this file.", flag=False),
+    )
+
+    def handle(self):
+        """Print the table. Raises EntryError if an entry gave no report."""
+        replies = self.read_reports("/v1/burn", BurnReport)
+        reports = [reply.report for reply in replies if reply.report]
+        missing = [reply for reply in replies if not reply.report]
+        versions = sorted({report.config_version for report in reports})
+        if len(versions) > 1:
+            self.write_note(f"warning: entries are at versions {versions}")
+        series = sum_reports(reports)
+        self.write_text(f"{len(reports)} of {len(replies)} entries")
+        self.write_rows(*list_table_rows(series))
+        if self.option("html"):
+            entries = [report.entry for report in reports]
+            page = render_page(series, entries, [reply.address for reply in missing])
+            _write_file(self.option("html"), page)
+        if missing:
+            raise EntryError(f"the sums are too low: {_describe(missing)}")
+
+
+class ExplainCommand(_EntryCommand):
+    name = "explain"
+    description = "Show how a request was answered, shard by shard."
+    arguments = (argument("request_id", description="Request id, a UUIDv7."),)
+    options = (_ENTRY_OPTION,)
+
+    def handle(self):
+        """Print each entry's explanation. Raises EntryError without any."""
+        request_id = _parse_request_id(self.argument("request_id"))
+        replies = self.read_reports(f"/v1/explain/{request_id}", Explanation)
+        found = [reply.report for reply in replies if reply.report]
+        for explanation in found:
+            self.write_text("\n".join(list_explanation(explanation)))
+        if not found:
+            raise EntryError(f"request {request_id}: {_describe(replies)}")
+
+
+def list_explanation(explanation):
+    """Yield the lines that explain one request."""
+    yield f"request {explanation.request_id} at entry {explanation.entry}"
+    yield f"search {explanation.search} for caller {explanation.caller}"
+    yield (
+        f"configuration version {explanation.config_version}, "
+        f"snapshot {explanation.snapshot}"
+    )
+    yield f"{explanation.outcome} after {explanation.total_ms:.1f} ms"
+    for shard in explanation.shards:
+        yield f"shard {shard.index}/{shard.shard}"
+        for attempt in shard.attempts:
+            yield f"  {_describe_attempt(attempt)}"
+    for shard in explanation.missing:
+        yield f"missing {shard.index}/{shard.shard}: {shard.reason}"
+
+
+def _describe_attempt(attempt):
+    text = (
+        f"{attempt.kind.value:7} to {attempt.server} held by {attempt.holder}: "
+        f"{attempt.outcome} after {attempt.ms:.1f} ms"
+    )
+    return f"{text} ({attempt.detail})" if attempt.detail else text
+
+
+def _describe(replies):
+    return ", ".join(
+        f"{reply.address}: {reply.problem or 'has no such report'}" for reply in replies
+    )
+
+
+def _parse_request_id(text):
+    try:
+        return str(uuid_utils.UUID(text))
+    except ValueError:
+        raise SettingsError(f"request id: expected a UUID, got {text!r}") from None
+
+
+def _write_file(path, text):
+    try:
+        Path(path).write_text(text, encoding="utf-8")
+    except OSError as exc:
+        raise SettingsError(f"cannot write {path}: {exc.strerror}") from exc
+
+
+COMMANDS = (ReportBurnCommand, ExplainCommand)
--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,120 @@
+"""Guard against a burn report that hides lost answers or alerts without cause."""
+
+import pytest
+
+from wisteriaworks.burn import (
+    MINUTE_S,
+    RETENTION_MINUTES,
+    BurnCounters,
+    evaluate,
+    sum_reports,
+)
+from wisteriaworks.generated.document import Objective
+
+STALL = Objective(
+    search="stall",
+    caller="desk",
+    latency_ms=140,
+    latency_target=0.99,
+    coverage_target=0.999,
+)
+
+
+def _count(answers, minutes=0, objectives=None):
+    """Return the report of (minute, total_ms, complete, count) answers."""
+    counters = BurnCounters()
+    counters.set_objectives(objectives or {"o": STALL})
+    for minute, total_ms, complete, count in answers:
+        for _ in range(count):
+            counters.record(minute * MINUTE_S, "stall", "desk", total_ms, complete)
+    return counters.create_report(minutes * MINUTE_S, "e1", 1)
+
+
+@pytest.mark.parametrize(
+    ("total_ms", "complete", "missed"),
+    [(140, True, (0, 0)), (140.1, True, (1, 0)), (1, False, (0, 1))],
+)
+def test_threshold_and_coverage_are_counted_apart(total_ms, complete, missed):
+    (series,) = _count([(0, total_ms, complete, 1)]).series
+    assert (series.totals, series.slow, series.uncovered) == (
+        (1,),
+        missed[:1],
+        missed[1:],
+    )
+
+
+def test_other_pairs_are_not_counted():
+    counters = BurnCounters()
+    counters.set_objectives({"o": STALL})
+    counters.record(0, "stall", "kiosk", 1, True)
+    (series,) = counters.create_report(0, "e1", 1).series
+    assert series.totals == ()
+
+
+def test_old_minutes_leave_the_ring():
+    last = RETENTION_MINUTES
+    answers = [(0, 1, True, 1), (1, 1, True, 2), (last, 1, True, 3)]
+    (series,) = _count(answers, minutes=last).series
+    assert (series.ages, series.totals) == ((0, last - 1), (3, 2))
+
+
+@pytest.mark.parametrize(("latency_ms", "kept"), [(140, (1,)), (100, ())])
+def test_counts_against_another_threshold_are_dropped(latency_ms, kept):
+    counters = BurnCounters()
+    counters.set_objectives({"o": STALL})
+    counters.record(0, "stall", "desk", 1, True)
+    changed = Objective(
+        search="stall",
+        caller="desk",
+        latency_ms=latency_ms,
+        latency_target=0.9,
+        coverage_target=0.9,
+    )
+    counters.set_objectives({"renamed": changed})
+    (series,) = counters.create_report(0, "e1", 1).series
+    assert series.totals == kept
+
+
+def test_entries_are_summed_by_age_whatever_their_clocks():
+    early = _count([(3, 1, True, 4), (5, 900, True, 1)], minutes=5)
+    late = _count([(103, 1, True, 6), (104, 1, False, 1)], minutes=105)
+    (series,) = sum_reports([early, late])
+    assert (series.ages, series.totals) == ((0, 1, 2), (1, 1, 10))
+    assert (series.slow, series.uncovered) == ((1, 0, 0), (0, 1, 0))
+
+
+# Answers as (minute, total_ms, complete, count), reported at minute 400.
+_STEADY = [(minute, 1, True, 10) for minute in range(400)]
+_BROKEN = [(minute, 900, True, 2) for minute in range(396, 401)]
+_LONG = [(minute, 900, True, 1) for minute in range(41, 401)]
+_HOUR = [(minute, 900, True, 3) for minute in range(341, 401)]
+_OVER = [(minute, 900, True, 3) for minute in range(300, 361)]
+
+
+@pytest.mark.parametrize(
+    ("misses", "alerts"),
+    [
+        ([], ()),
+        (_BROKEN, ()),
+        (_LONG, ("slow",)),
+        (_HOUR, ("fast",)),
+        (_OVER, ()),
+    ],
+)
+def test_alerts_need_both_windows(misses, alerts):
+    (series,) = _count(_STEADY + misses, minutes=400).series
+    latency, coverage = evaluate(series)
+    assert (latency.alerts, coverage.alerts) == (alerts, ())
+
+
+def test_rate_and_spent_budget():
+    (series,) = _count([(0, 1, True, 98), (0, 900, True, 2)]).series
+    latency, coverage = evaluate(series)
+    assert latency.rates == pytest.approx((2, 2, 2, 2))
+    assert (latency.total, latency.missed, coverage.missed) == (100, 2, 0)
+    assert latency.spent == pytest.approx(0.2)
+
+
+def test_no_answers_burn_nothing():
+    (series,) = _count([]).series
+    assert [line.rates for line in evaluate(series)] == [(0, 0, 0, 0)] * 2
