--- /dev/null
+++ b/src/wisteriaworks/answers.py
@@ -0,0 +1,65 @@
+"""Build the HTTP answers to callers."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from wisteriaworks.errors import ERROR_ANSWERS
+from wisteriaworks.generated.api import AnswerBody, ErrorBody, RecordedAnswer
+from wisteriaworks.merge import Coverage
+
+_ENCODER = msgspec.json.Encoder()
+_ONE_SHARD = Coverage(total=1, answered=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold one HTTP answer: status code and JSON body."""
+
+    request_id: str | None
+    status: int
+    body: bytes
+
+    def encode_record(self):
+        """Return the answer as it is kept in the replicated state."""
+        recorded = RecordedAnswer(status=self.status, body=msgspec.Raw(self.body))
+        return _ENCODER.encode(recorded)
+
+
+def create_answer(request_id, view, result):
+    """Return the answer for a search that ran."""
+    return _create_body(request_id, view, result, result.outcome.value, result.coverage)
+
+
+def create_once_answer(request_id, view, result):
+    """Return the answer for a non-idempotent request that ran on its shard."""
+    return _create_body(request_id, view, result, "complete", _ONE_SHARD)
+
+
+def _create_body(request_id, view, result, outcome, coverage):
+    body = AnswerBody(
+        request_id=request_id,
+        outcome=outcome,
+        configuration_version=view.config_version,
+        snapshot=result.snapshot,
+        coverage=coverage,
+        results=result.hits,
+    )
+    return Answer(request_id, 200, _ENCODER.encode(body))
+
+
+def create_error(request_id, exc, result=None):
+    """Return the answer for a RequestError, with what ``result`` holds."""
+    spec = ERROR_ANSWERS[exc.kind]
+    unchanged = exc.run_state is spec.run_state
+    body = ErrorBody(
+        request_id=request_id,
+        outcome=exc.kind.value,
+        run_state=exc.run_state.value,
+        retry_safe=spec.retry_safe and unchanged,
+        message=exc.message,
+        snapshot=result.snapshot if result else None,
+        coverage=result.coverage if result else None,
+        results=result.hits if result else None,
+    )
+    return Answer(request_id, spec.http_status, _ENCODER.encode(body))
--- /dev/null
+++ b/src/wisteriaworks/api.py
@@ -0,0 +1,216 @@
+"""Serve the callers' HTTP API."""
+
+import hashlib
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from wisteriaworks.answers import create_answer, create_error
+from wisteriaworks.asgi import JSON, read_body, run_lifespan, send_response
+from wisteriaworks.errors import ErrorKind, RequestError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.api import SearchBody
+from wisteriaworks.generated.document import Caller, Routing, Search
+from wisteriaworks.request_id import parse_request_id
+from wisteriaworks.search import SearchRequest
+
+PREFIX = "/v1/searches/"
+CLOSE = (b"connection", b"close")
+_BODY_DECODER = msgspec.json.Decoder(SearchBody)
+_REFUSALS = frozenset(
+    {
+        ErrorKind.DEADLINE_PASSED,
+        ErrorKind.ENTRY_FENCED,
+        ErrorKind.ENTRY_STOPPING,
+        ErrorKind.OVERLOADED,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Target:
+    """Hold what the head of a request names."""
+
+    caller_name: str
+    caller: Caller
+    search_name: str
+    search: Search
+    timeout_s: float
+
+
+def _find_caller(view, headers):
+    scheme, _, credential = headers.get(b"authorization", b"").partition(b" ")
+    if scheme.lower() != b"bearer" or not credential:
+        raise RequestError(ErrorKind.UNAUTHENTICATED, "a bearer credential is required")
+    digest = hashlib.sha256(credential.strip()).hexdigest()
+    for name, caller in view.document.callers.items():
+        if caller.credential_sha256 == digest:
+            return name, caller
+    raise RequestError(ErrorKind.UNAUTHENTICATED, "the credential is not known")
+
+
+def _read_timeout_s(headers, caller):
+    text = headers.get(b"x-timeout-ms")
+    if text is None:
+        return caller.timeout_ms / 1000
+    try:
+        timeout_ms = float(text)
+    except ValueError:
+        raise RequestError(
+            ErrorKind.MALFORMED_REQUEST, "X-Timeout-Ms is not a number"
+        ) from None
+    return min(timeout_ms, caller.timeout_ms) / 1000
+
+
+def _find_target(view, path, headers):
+    caller_name, caller = _find_caller(view, headers)
+    search_name = path.removeprefix(PREFIX)
+    search = view.document.searches.get(search_name)
+    if search is None or not path.startswith(PREFIX):
+        raise RequestError(ErrorKind.UNKNOWN_SEARCH, f"there is no search at {path}")
+    if search_name not in caller.searches:
+        raise RequestError(
+            ErrorKind.CALLER_FORBIDDEN, f"{caller_name} may not ask {search_name}"
+        )
+    timeout_s = _read_timeout_s(headers, caller)
+    return _Target(caller_name, caller, search_name, search, timeout_s)
+
+
+def _parse_body(data, search):
+    try:
+        body = _BODY_DECODER.decode(data)
+        request_id = parse_request_id(body.request_id)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        raise RequestError(ErrorKind.MALFORMED_REQUEST, f"body: {exc}") from exc
+    if search.routing is Routing.KEYED and body.routing_key is None:
+        raise RequestError(
+            ErrorKind.MALFORMED_REQUEST, "body: a keyed search needs a routing_key"
+        )
+    return msgspec.structs.replace(body, request_id=request_id)
+
+
+def _create_request(target, body, deadline):
+    minimum = target.caller.minimum_coverage
+    if minimum is None:
+        minimum = target.search.minimum_coverage
+    return SearchRequest(
+        search=target.search_name,
+        request_id=body.request_id,
+        caller=target.caller_name,
+        query=bytes(body.query),
+        routing_key=body.routing_key,
+        deadline=deadline,
+        minimum_coverage=minimum,
+    )
+
+
+def _compute_digest(request):
+    text = msgspec.json.encode((request.search, request.routing_key))
+    return hashlib.sha256(text + request.query).digest()
+
+
+def _describe(result):
+    coverage = result.coverage
+    return f"{coverage.answered} of {coverage.total} shards answered"
+
+
+class Api:
+    """Answer callers. An ASGI application."""
+
+    def __init__(self, session, admission, searches, claims, metrics, reports):
+        self._session = session
+        self._admission = admission
+        self._searches = searches
+        self._claims = claims
+        self._metrics = metrics
+        self._reports = reports
+        self.running = 0
+        # Tells callers to open new connections elsewhere during a stop.
+        self.closing = False
+        self.refusing = False
+
+    async def __call__(self, scope, receive, send):
+        match scope["type"]:
+            case "lifespan":
+                await run_lifespan(receive, send)
+            case "http":
+                await self._serve(scope, receive, send)
+
+    async def _serve(self, scope, receive, send):
+        self.running += 1
+        try:
+            answer = await self._answer(scope, receive)
+            headers = (JSON, CLOSE) if self.closing else (JSON,)
+            await send_response(send, answer.status, answer.body, headers)
+        finally:
+            self.running -= 1
+
+    async def _answer(self, scope, receive):
+        started = trio.current_time()
+        view = self._session.view
+        request_id = None
+        try:
+            if scope["method"] != "POST":
+                raise RequestError(ErrorKind.UNKNOWN_SEARCH, "use POST for a search")
+            target = _find_target(view, scope["path"], dict(scope["headers"]))
+            data = await read_body(receive, view.document.limits.max_body_bytes)
+            body = _parse_body(data, target.search)
+            request_id = body.request_id
+            request = _create_request(target, body, started + target.timeout_s)
+            answer = await self._run(view, target, request)
+            self._count(target, answer, started)
+            return answer
+        except RequestError as exc:
+            log_event(
+                Event.REQUEST_FAILED, request_id=request_id, outcome=exc.kind.value
+            )
+            return create_error(request_id, exc)
+        except Exception as exc:
+            log_event(Event.HANDLER_FAILED, error=repr(exc))
+            failure = RequestError(ErrorKind.INTERNAL_ERROR, "internal error")
+            return create_error(request_id, failure)
+
+    async def _run(self, view, target, request):
+        try:
+            error = self._find_refusal(request)
+            if error is not None:
+                raise error
+            with self._admission.admit(view, target.caller.priority, request):
+                if target.search.idempotent:
+                    return await self._run_search(view, request)
+                return await self._claims.run(view, request, _compute_digest(request))
+        except RequestError as exc:
+            if target.search.idempotent or exc.kind not in _REFUSALS:
+                raise
+            # A refusal of a non-idempotent request is recorded before it is
+            # said, because the same request may be running elsewhere.
+            return await self._claims.refuse(request, _compute_digest(request), exc)
+
+    async def _run_search(self, view, request):
+        result = await self._searches.run(view, request)
+        self._reports.record(view, request, result)
+        if isinstance(result.outcome, ErrorKind):
+            error = RequestError(result.outcome, _describe(result))
+            return create_error(request.request_id, error, result)
+        return create_answer(request.request_id, view, result)
+
+    def _find_refusal(self, request):
+        if not request.deadline > trio.current_time():
+            return RequestError(
+                ErrorKind.DEADLINE_PASSED,
+                "the deadline passed before the request arrived",
+            )
+        if self.refusing:
+            return RequestError(ErrorKind.ENTRY_STOPPING, "the entry is stopping")
+        if self._session.is_fenced():
+            return RequestError(
+                ErrorKind.ENTRY_FENCED, "the entry cannot confirm its configuration"
+            )
+        return None
+
+    def _count(self, target, answer, started):
+        elapsed_ms = 1000 * (trio.current_time() - started)
+        labels = {"search": target.search_name, "caller": target.caller_name}
+        self._metrics.requests.add(1, {**labels, "status": str(answer.status)})
+        self._metrics.request_ms.record(elapsed_ms, labels)
--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -33,6 +33,7 @@
     NO_SNAPSHOT = "no_snapshot"
     INSUFFICIENT_COVERAGE = "insufficient_coverage"
     BACKEND_REFUSED = "backend_refused"
+    ANSWER_NOT_RECORDED = "answer_not_recorded"
     OUTCOME_UNKNOWN = "outcome_unknown"
     CONTROL_UNAVAILABLE = "control_unavailable"
     CONFIGURATION_INVALID = "configuration_invalid"
@@ -73,6 +74,7 @@
     ErrorKind.NO_SNAPSHOT: ErrorAnswer(503, _NOT_RUN, True),
     ErrorKind.INSUFFICIENT_COVERAGE: ErrorAnswer(503, _RAN, False),
     ErrorKind.BACKEND_REFUSED: ErrorAnswer(503, _NOT_RUN, True),
+    ErrorKind.ANSWER_NOT_RECORDED: ErrorAnswer(502, _RAN, False),
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, _UNKNOWN, False),
     ErrorKind.CONTROL_UNAVAILABLE: ErrorAnswer(503, _UNKNOWN, False),
     ErrorKind.CONFIGURATION_INVALID: ErrorAnswer(422, _NOT_RUN, True),
@@ -111,10 +113,17 @@
 
 
 class ControlError(WisteriaError):
-    """Report that no control member answered as the leader in time."""
+    """Report that no control member answered as the leader in time.
+
+    ``sent`` is false only when no member can have received the message.
+    """
 
     exit_code = 4
 
+    def __init__(self, message, sent=True):
+        super().__init__(message)
+        self.sent = sent
+
 
 class ConflictError(WisteriaError):
     """Report that another operator changed the configuration first."""
--- /dev/null
+++ b/src/wisteriaworks/local_layout.py
@@ -0,0 +1,146 @@
+"""Describe a local system: its document and its emulator's settings."""
+
+import hashlib
+import itertools
+from dataclasses import dataclass, field
+
+import msgspec
+
+from wisteriaworks.generated.document import (
+    Caller,
+    Document,
+    Domain,
+    Index,
+    Limits,
+    Routing,
+    Search,
+    Server,
+)
+from wisteriaworks.generated.emulator import (
+    EmulatedIndex,
+    EmulatorSettings,
+    Profile,
+    ServerSettings,
+)
+from wisteriaworks.processes import find_free_ports
+
+CREDENTIAL = "local-credential"
+PROFILE = "local"
+
+
+@dataclass(frozen=True)
+class IndexLayout:
+    """Describe the servers of one index: replica sets of two or more."""
+
+    name: str
+    replica_sets: int
+    replicas: int = 2
+    slots: int = 2
+    connections: int = 25
+    keyed: bool = False
+
+
+@dataclass(frozen=True)
+class Layout:
+    """Describe a local system."""
+
+    domains: tuple[str, ...]
+    indexes: tuple[IndexLayout, ...]
+    entries: int = 4
+    controls: int = 3
+    profile: Profile = field(default_factory=Profile)
+    limits: Limits = field(default_factory=Limits)
+    timeout_ms: int = 2000
+    seed: int = 1
+
+
+DEMO_LAYOUT = Layout(
+    domains=("plovdiv-a", "plovdiv-b", "asenovgrad", "stamboliyski"),
+    indexes=(
+        IndexLayout("gate-desk", replica_sets=6),
+        IndexLayout("pass-sales", replica_sets=3, keyed=True),
+    ),
+)
+
+
+def create_document(layout):
+    """Return a configuration document with free ports for the servers."""
+    count = sum(index.replica_sets * index.replicas for index in layout.indexes)
+    ports = iter(find_free_ports(count))
+    indexes = {
+        index.name: _create_index(index, layout.domains, ports)
+        for index in layout.indexes
+    }
+    searches = {
+        index.name: Search(
+            indexes=(index.name,),
+            routing=Routing.KEYED if index.keyed else Routing.SCATTER,
+            idempotent=not index.keyed,
+        )
+        for index in layout.indexes
+    }
+    caller = Caller(
+        credential_sha256=hashlib.sha256(CREDENTIAL.encode()).hexdigest(),
+        searches=tuple(searches),
+        timeout_ms=layout.timeout_ms,
+        priority=1,
+    )
+    return Document(
+        searches=searches,
+        indexes=indexes,
+        callers={"steward": caller},
+        domains={name: Domain() for name in layout.domains},
+        limits=layout.limits,
+    )
+
+
+def _create_index(index, domains, ports):
+    numbers = itertools.product(range(index.replica_sets), range(index.replicas))
+    return Index(
+        servers=tuple(
+            Server(
+                name=f"{index.name}-{group + 1}-{replica + 1}",
+                address=f"127.0.0.1:{next(ports)}",
+                domain=domains[(group + replica) % len(domains)],
+                replica_set=f"{index.name}-{group + 1}",
+                slots=index.slots,
+                connections=index.connections,
+            )
+            for group, replica in numbers
+        )
+    )
+
+
+def create_emulator_settings(layout, document, control):
+    """Return settings of an emulator for all servers of a document."""
+    indexes = {
+        name: EmulatedIndex(
+            partition_map=tuple(sorted({s.replica_set for s in index.servers}))
+        )
+        for name, index in document.indexes.items()
+    }
+    servers = tuple(
+        ServerSettings(
+            name=server.name,
+            address=server.address,
+            index=name,
+            shards=(server.replica_set,),
+            profile=f"{PROFILE}-{server.slots}",
+        )
+        for name, index in document.indexes.items()
+        for server in index.servers
+    )
+    profiles = {
+        f"{PROFILE}-{index.slots}": msgspec.structs.replace(
+            layout.profile, slots=index.slots, connections=index.connections
+        )
+        for index in layout.indexes
+    }
+    return EmulatorSettings(
+        control=control,
+        seed=layout.seed,
+        vm_list_lag_s=1.0,
+        profiles=profiles,
+        indexes=indexes,
+        servers=servers,
+    )
--- /dev/null
+++ b/src/wisteriaworks/session.py
@@ -0,0 +1,167 @@
+"""Keep the entry's session with control.
+
+One heartbeat renews the lease for all servers that the entry holds, reports
+what it observed of them, and brings the configuration and the routes.
+"""
+
+import trio
+
+from wisteriaworks.errors import ControlError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.messages import EntryState, Heartbeat
+from wisteriaworks.generated.settings import OnControlLoss
+from wisteriaworks.view import EMPTY_VIEW, View
+
+FIRST_HEARTBEAT_S = 0.5
+HEARTBEAT_TIMEOUT_S = 1.5
+
+
+class Session:
+    """Renew the entry's lease and replace its view of the system."""
+
+    def __init__(self, cfg, control, holder, lease, store):
+        self._cfg = cfg
+        self._control = control
+        self._holder = holder
+        self._lease = lease
+        self._store = store
+        self._released = ()
+        self._route_version = 0
+        self._leader_epoch = None
+        self._heartbeat_s = FIRST_HEARTBEAT_S
+        self._lease_s = 0.0
+        self._confirmed_at = -float("inf")
+        self._fenced = True
+        self._out_since = None
+        self.number = 0
+        self.stopping = False
+        self.view = store.load() or EMPTY_VIEW
+
+    async def run(self):
+        """Send heartbeats until cancelled."""
+        while True:
+            started = trio.current_time()
+            await self.renew()
+            await trio.sleep_until(started + self._heartbeat_s)
+
+    async def renew(self):
+        """Send one heartbeat and adopt what its answer brings."""
+        sent_at = trio.current_time()
+        message = self._create_heartbeat()
+        try:
+            reply = await self._control.call(message, HEARTBEAT_TIMEOUT_S)
+        except ControlError as exc:
+            self._handle_silence(exc)
+        else:
+            self._handle_reply(reply, sent_at)
+        self._note_fencing()
+
+    def is_fenced(self):
+        """Say whether the configuration is not confirmed recently enough."""
+        age = trio.current_time() - self._confirmed_at
+        stale = age > self._cfg.fence_after_s
+        return stale and not self._may_serve_stale()
+
+    def may_claim(self):
+        """Say whether a non-idempotent request may be sent now."""
+        return self.number != 0 and self._lease.is_valid(trio.current_time())
+
+    def is_retiring(self):
+        """Say whether the entry stops or its failure domain is out."""
+        return self.stopping or self.view.is_domain_out(self._cfg.domain)
+
+    def seconds_out(self):
+        """Return how long the entry's failure domain has been out, in seconds."""
+        if self._out_since is None:
+            return 0.0
+        return trio.current_time() - self._out_since
+
+    def is_holding(self):
+        """Say whether the entry still holds servers or has to report releases."""
+        held = any(r.holder == self.number for r in self.view.routes.values())
+        return self.number != 0 and (held or bool(self._released))
+
+    def _may_serve_stale(self):
+        return (
+            self._cfg.on_control_loss is OnControlLoss.SERVE_STALE
+            and self.view.config_version > 0
+        )
+
+    def _create_heartbeat(self):
+        self._released += self._holder.take_released()
+        full = self._leader_epoch is None
+        return Heartbeat(
+            session=self.number,
+            name=self._cfg.name,
+            domain=self._cfg.domain,
+            address=self._cfg.peer,
+            state=EntryState.RETIRING if self.is_retiring() else EntryState.ACTIVE,
+            config_version=self.view.config_version,
+            route_version=self._route_version,
+            full=full,
+            reports=self._holder.collect_reports(full),
+            released=self._released,
+        )
+
+    def _handle_silence(self, exc):
+        log_event(Event.CONTROL_UNREACHABLE, error=exc.message)
+        # The reports of the lost heartbeat may not have arrived.
+        self._leader_epoch = None
+        if self.number and self._may_serve_stale():
+            self._lease.renew(trio.current_time(), self._lease_s)
+
+    def _handle_reply(self, reply, sent_at):
+        self._released = ()
+        if reply.session != self.number:
+            self._change_session(reply.session)
+        if reply.session:
+            self._lease_s = reply.lease_s
+            self._lease.renew(sent_at, reply.lease_s)
+        self._confirmed_at = sent_at
+        self._heartbeat_s = reply.heartbeat_s
+        self._leader_epoch = self._check_leader(reply.leader_epoch)
+        self._adopt(reply)
+        self._holder.apply_view(self.view, self.number)
+        self._holder.start_release(reply.release)
+
+    def _check_leader(self, epoch):
+        # A new leader knows no reports yet, so the next ones are sent in full.
+        return epoch if self._leader_epoch in (epoch, None) else None
+
+    def _change_session(self, number):
+        if self.number:
+            self._lease.expire()
+            log_event(Event.SESSION_LOST, session=self.number)
+        if number:
+            log_event(Event.SESSION_OPENED, session=number)
+        self.number = number
+        self._leader_epoch = None
+        self._released = ()
+
+    def _adopt(self, reply):
+        version, document = self.view.config_version, self.view.document
+        if reply.document is not None and reply.config_version > version:
+            version, document = reply.config_version, reply.document
+            self._store.save(version, document)
+            log_event(Event.CONFIGURATION_ADOPTED, version=version)
+        assert version >= self.view.config_version, "configuration must not revert"
+        routes = {} if reply.full else dict(self.view.routes)
+        routes.update((route.server, route) for route in reply.routes)
+        for server in reply.removed:
+            routes.pop(server, None)
+        self._route_version = reply.route_version
+        self.view = View(version, document, routes)
+        self._note_domain()
+
+    def _note_domain(self):
+        if not self.view.is_domain_out(self._cfg.domain):
+            self._out_since = None
+        elif self._out_since is None:
+            self._out_since = trio.current_time()
+
+    def _note_fencing(self):
+        fenced = self.is_fenced()
+        if fenced != self._fenced:
+            self._fenced = fenced
+            event = Event.ENTRY_FENCED if fenced else Event.ENTRY_UNFENCED
+            log_event(event, version=self.view.config_version)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -75,7 +75,7 @@
     parts = [
         f'"""{schema["doc"]}"""\n',
         "from enum import Enum\nfrom typing import Annotated, Any\n\n"
-        "from msgspec import Meta, Struct, field\n"
+        "from msgspec import Meta, Raw, Struct, field\n"
         + "".join(
             f"from wisteriaworks.generated.{module} import {', '.join(names)}\n"
             for module, names in schema.get("imports", {}).items()
