--- a/src/wisteriaworks/answers.py
+++ b/src/wisteriaworks/answers.py
@@ -9,6 +9,7 @@
 from wisteriaworks.merge import Coverage
 
 _ENCODER = msgspec.json.Encoder()
+_COMPLETE = "complete"
 _ONE_SHARD = Coverage(total=1, answered=1)
 
 
@@ -19,6 +20,7 @@
     request_id: str | None
     status: int
     body: bytes
+    complete: bool = False
 
     def encode_record(self):
         """Return the answer as it is kept in the replicated state."""
@@ -33,7 +35,7 @@
 
 def create_once_answer(request_id, view, result):
     """Return the answer for a non-idempotent request that ran on its shard."""
-    return _create_body(request_id, view, result, "complete", _ONE_SHARD)
+    return _create_body(request_id, view, result, _COMPLETE, _ONE_SHARD)
 
 
 def _create_body(request_id, view, result, outcome, coverage):
@@ -45,7 +47,7 @@
         coverage=coverage,
         results=result.hits,
     )
-    return Answer(request_id, 200, _ENCODER.encode(body))
+    return Answer(request_id, 200, _ENCODER.encode(body), outcome == _COMPLETE)
 
 
 def create_error(request_id, exc, result=None):
--- a/src/wisteriaworks/api.py
+++ b/src/wisteriaworks/api.py
@@ -128,6 +128,7 @@
         self.running = 0
         # Tells callers to open new connections elsewhere during a stop.
         self.closing = False
+        # Refuses requests that arrive after the balancer's lag.
         self.refusing = False
 
     async def __call__(self, scope, receive, send):
@@ -149,7 +150,7 @@
     async def _answer(self, scope, receive):
         started = trio.current_time()
         view = self._session.view
-        request_id = None
+        request_id = target = None
         try:
             if scope["method"] != "POST":
                 raise RequestError(ErrorKind.UNKNOWN_SEARCH, "use POST for a search")
@@ -159,9 +160,10 @@
             request_id = body.request_id
             request = _create_request(target, body, started + target.timeout_s)
             answer = await self._run(view, target, request)
-            self._count(target, answer, started)
+            self._count(view, target, answer, started)
             return answer
         except RequestError as exc:
+            self._count_refusal(view, target, exc, started)
             log_event(
                 Event.REQUEST_FAILED, request_id=request_id, outcome=exc.kind.value
             )
@@ -188,8 +190,10 @@
             return await self._claims.refuse(request, _compute_digest(request), exc)
 
     async def _run_search(self, view, request):
+        started = trio.current_time()
         result = await self._searches.run(view, request)
-        self._reports.record(view, request, result)
+        elapsed_ms = 1000 * (trio.current_time() - started)
+        self._reports.explain(view, request, result, elapsed_ms)
         if isinstance(result.outcome, ErrorKind):
             error = RequestError(result.outcome, _describe(result))
             return create_error(request.request_id, error, result)
@@ -209,8 +213,17 @@
             )
         return None
 
-    def _count(self, target, answer, started):
+    def _count(self, view, target, answer, started):
+        complete = answer.status == 200 and answer.complete
+        self._record(view, target, str(answer.status), complete, started)
+
+    def _count_refusal(self, view, target, exc, started):
+        if target is not None:
+            self._record(view, target, exc.kind.value, False, started)
+
+    def _record(self, view, target, outcome, complete, started):
         elapsed_ms = 1000 * (trio.current_time() - started)
-        labels = {"search": target.search_name, "caller": target.caller_name}
-        self._metrics.requests.add(1, {**labels, "status": str(answer.status)})
-        self._metrics.request_ms.record(elapsed_ms, labels)
+        names = {"search": target.search_name, "caller": target.caller_name}
+        self._metrics.requests.add(1, {**names, "outcome": outcome})
+        self._metrics.request_ms.record(elapsed_ms, names)
+        self._reports.count(view, **names, total_ms=elapsed_ms, complete=complete)
--- a/src/wisteriaworks/claims.py
+++ b/src/wisteriaworks/claims.py
@@ -26,6 +26,7 @@
 
 CALL_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.1
+_OK = 200
 _NOT_RUN_KINDS = {
     kind.value: kind for kind in (ErrorKind.NO_SNAPSHOT, ErrorKind.DEADLINE_PASSED)
 }
@@ -272,7 +273,8 @@
                 "the request ran, but its answer was too large to be recorded",
             )
     recorded = msgspec.json.decode(record.answer, type=RecordedAnswer)
-    return Answer(request_id, recorded.status, bytes(recorded.body))
+    complete = recorded.status == _OK
+    return Answer(request_id, recorded.status, bytes(recorded.body), complete)
 
 
 def _conclude(request_id, view, result):
--- /dev/null
+++ b/src/wisteriaworks/entry.py
@@ -0,0 +1,166 @@
+"""The program ``wisteria-entry``: serve callers and hold backend servers."""
+
+import contextlib
+import random
+import sys
+
+import trio
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from wisteriaworks import __version__
+from wisteriaworks.admin import AdminApp, serve_http
+from wisteriaworks.admission import Admission
+from wisteriaworks.api import Api
+from wisteriaworks.claims import ClaimRunner
+from wisteriaworks.control_client import ControlClient
+from wisteriaworks.errors import WisteriaError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.settings import EntrySettings
+from wisteriaworks.generated.subqueries import (
+    Acknowledged,
+    CancelAttempts,
+    SubqueryBatch,
+)
+from wisteriaworks.holder import Holder
+from wisteriaworks.lease import Lease
+from wisteriaworks.logs import configure_logs
+from wisteriaworks.metrics import create_metrics
+from wisteriaworks.peers import Peers
+from wisteriaworks.request_reports import RequestReports
+from wisteriaworks.rpc import RpcServer
+from wisteriaworks.search import SearchRunner
+from wisteriaworks.session import Session
+from wisteriaworks.settings import load_settings
+from wisteriaworks.shutdown import EXIT_FORCED, wait_for_stop, wait_until
+from wisteriaworks.view_store import ViewStore
+
+PROGRAM = "wisteria-entry"
+# Time in which an entry whose failure domain is out still accepts requests
+# that the balancer sends before it notices that the entry is not ready.
+OUT_GRACE_S = 2.0
+
+
+class Entry:
+    """Own all parts of one entry."""
+
+    def __init__(self, cfg, stack):
+        self._cfg = cfg
+        self._stack = stack
+
+    async def open(self):
+        """Create the parts, owned by the exit stack."""
+        cfg, enter = self._cfg, self._stack.enter_async_context
+        rng = random.Random(cfg.seed or None)
+        metrics = create_metrics(PROGRAM, cfg.name)
+        self.nursery = await enter(trio.open_nursery())
+        self._lease = Lease()
+        control = await enter(ControlClient(cfg.control))
+        self._holder = await enter(Holder(self._lease, metrics, rng))
+        peers = await enter(Peers(cfg.peer, self._holder))
+        store = ViewStore(cfg.data_folder)
+        self.session = Session(cfg, control, self._holder, self._lease, store)
+        searches = SearchRunner(
+            peers, cfg.peer, metrics, rng, lambda: self.session.view
+        )
+        self._claims = ClaimRunner(
+            control, searches, self.session, metrics, self.nursery
+        )
+        admission = Admission()
+        self._reports = RequestReports(cfg.name)
+        self.api = Api(
+            self.session, admission, searches, self._claims, metrics, self._reports
+        )
+        self._rpc = RpcServer(
+            {SubqueryBatch: self._holder.run_batch, CancelAttempts: self._cancel},
+            on_error=lambda exc: log_event(Event.HANDLER_FAILED, error=repr(exc)),
+        )
+
+    async def run(self):
+        """Serve until a signal asks for a stop; return the exit code."""
+        cfg, start = self._cfg, self.nursery.start
+        stop = await start(wait_for_stop)
+        await start(self._rpc.serve, cfg.peer)
+        self.nursery.start_soon(self.session.run)
+        self.nursery.start_soon(self._watch_domain)
+        await start(serve_http, AdminApp(self.is_ready), cfg.admin)
+        await start(serve_http, self.api, cfg.api)
+        log_event(Event.PROCESS_STARTED, api=cfg.api)
+        await stop.wait()
+        log_event(Event.PROCESS_STOPPING)
+        with trio.move_on_after(cfg.stop_timeout_s) as scope:
+            await self._stop()
+        if scope.cancelled_caught:
+            log_event(Event.STOP_TIMED_OUT, running=self.api.running)
+            return EXIT_FORCED
+        log_event(Event.PROCESS_STOPPED)
+        return 0
+
+    def is_ready(self):
+        """Say whether the balancer should send requests to this entry."""
+        return (
+            not self.session.is_retiring()
+            and not self.session.is_fenced()
+            and bool(self.session.view.routes)
+        )
+
+    async def _cancel(self, message, send):
+        self._holder.cancel(message.batch_id, message.attempts)
+        return Acknowledged()
+
+    async def _watch_domain(self):
+        while True:
+            out = self.session.seconds_out()
+            self.api.closing = self.session.stopping or out > 0
+            self.api.refusing = self.api.refusing_for_stop or out > OUT_GRACE_S
+            await trio.sleep(0.1)
+
+    async def _stop(self):
+        self.session.stopping = True
+        self.api.closing = True
+        await trio.sleep(self._cfg.balancer_lag_s)
+        self.api.refusing_for_stop = True
+        await wait_until(lambda: self.api.running == 0 and self._claims.running == 0)
+        await wait_until(lambda: not self.session.is_holding())
+        self._rpc.announce_stop()
+        await wait_until(self._holder.is_idle)
+
+
+async def run_entry(cfg):
+    """Run one entry and return its exit code."""
+    async with contextlib.AsyncExitStack() as stack:
+        entry = Entry(cfg, stack)
+        await entry.open()
+        code = await entry.run()
+        entry.nursery.cancel_scope.cancel()
+    return code
+
+
+class RunCommand(Command):
+    """Run an entry until SIGTERM asks for a graceful stop."""
+
+    name = "run"
+    description = "Run an entry until SIGTERM asks for a graceful stop."
+    arguments = [argument("settings", "YAML file with the settings of the entry.")]  # noqa: RUF012
+
+    def handle(self):
+        """Run the entry."""
+        try:
+            cfg = load_settings(self.argument("settings"), EntrySettings)
+        except WisteriaError as exc:
+            self.line_error(f"{PROGRAM}: {exc.message}")
+            return exc.exit_code
+        configure_logs(cfg.log, PROGRAM, cfg.name)
+        return trio.run(run_entry, cfg)
+
+
+def main():
+    """Run the command line."""
+    application = Application(PROGRAM, __version__)
+    application.add(RunCommand())
+    sys.exit(application.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wisteriaworks/local_system.py
@@ -0,0 +1,307 @@
+"""Run a whole system on the loopback address.
+
+For the demo, the tests and the load tool: control members, entries over the
+failure domains, and the backend emulator, each in a process of its own.
+"""
+
+import contextlib
+import itertools
+import signal
+from pathlib import Path
+
+import msgspec
+import trio
+import uuid_utils
+
+from wisteriaworks.control_client import ControlClient
+from wisteriaworks.errors import ControlError, WisteriaError
+from wisteriaworks.generated.document import Domain
+from wisteriaworks.generated.messages import (
+    ChangeMembers,
+    MemberAction,
+    ProposeConfiguration,
+    ProposeResult,
+    ReadConfiguration,
+    ReadStatus,
+)
+from wisteriaworks.generated.settings import (
+    ControlSettings,
+    EntrySettings,
+    LogSettings,
+)
+from wisteriaworks.local_layout import (
+    CREDENTIAL,
+    create_document,
+    create_emulator_settings,
+)
+from wisteriaworks.processes import (
+    fetch,
+    find_free_ports,
+    run_program,
+    start_process,
+)
+
+CALL_TIMEOUT_S = 10.0
+READY_TIMEOUT_S = 60.0
+POLL_S = 0.1
+
+
+class LocalSystem:
+    """Start, drive and stop a local system. An asynchronous context manager."""
+
+    def __init__(self, layout, folder, document=None):
+        self.layout = layout
+        self.folder = Path(folder)
+        self.document = document or create_document(layout)
+        self.entries = {}
+        self.controls = {}
+        self.emulator = None
+        self._stack = contextlib.AsyncExitStack()
+        self._plan()
+
+    def _plan(self):
+        layout = self.layout
+        needed = 1 + 2 * layout.controls + 3 * layout.entries
+        ports = (f"127.0.0.1:{port}" for port in find_free_ports(needed))
+        self.emulator_control = next(ports)
+        members = [(next(ports), next(ports)) for _ in range(layout.controls)]
+        domains = itertools.cycle(layout.domains)
+        self.control_settings = tuple(
+            ControlSettings(
+                name=f"control-{number}",
+                domain=domain,
+                address=address,
+                admin=admin,
+                data_folder=str(self.folder / f"control-{number}"),
+                peers=tuple(other for other, _ in members if other != address),
+                platform=self.emulator_control,
+                log=self._log(f"control-{number}"),
+            )
+            for number, ((address, admin), domain) in enumerate(
+                zip(members, domains, strict=False), 1
+            )
+        )
+        domains = itertools.cycle(layout.domains)
+        self.entry_settings = tuple(
+            EntrySettings(
+                name=f"entry-{number}",
+                domain=next(domains),
+                api=next(ports),
+                peer=next(ports),
+                admin=next(ports),
+                control=tuple(address for address, _ in members),
+                balancer_lag_s=0.5,
+                seed=layout.seed + number,
+                log=self._log(f"entry-{number}"),
+            )
+            for number in range(1, layout.entries + 1)
+        )
+
+    def _log(self, name):
+        return LogSettings(file=str(self.folder / f"{name}.log"))
+
+    async def __aenter__(self):
+        self._stack.push_async_callback(self._kill_all)
+        self.control = await self._stack.enter_async_context(
+            ControlClient(tuple(cfg.address for cfg in self.control_settings))
+        )
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    async def start(self):
+        """Start everything and wait until every entry is ready."""
+        await self.start_emulator()
+        await self.start_control()
+        await self.apply(self.document, 0)
+        async with trio.open_nursery() as nursery:
+            for cfg in self.entry_settings:
+                nursery.start_soon(self.start_entry, cfg)
+        await self.wait_for_holders()
+
+    async def start_emulator(self):
+        """Start the backend emulator."""
+        cfg = create_emulator_settings(
+            self.layout, self.document, self.emulator_control
+        )
+        path = self._write("emulator", cfg)
+        self.emulator = await self._start("emulator", "backend_emulator", path, "")
+        await self._wait_for_emulator()
+
+    async def _wait_for_emulator(self):
+        with trio.fail_after(READY_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(Exception):
+                    await fetch("GET", self.emulator_control, "/v1/vms")
+                    return
+                await trio.sleep(POLL_S)
+
+    async def start_control(self):
+        """Start the control members and make all of them voters."""
+        first, *others = self.control_settings
+        path = self._write(first.name, first)
+        result = await run_program("control", ["init", path])
+        if result.returncode:
+            raise WisteriaError(f"control init failed: {result.stderr.decode()}")
+        await self.run_control(first)
+        for cfg in others:
+            await self.run_control(cfg)
+            await self.add_member(cfg)
+
+    async def run_control(self, cfg):
+        """Start one control member."""
+        path = self._write(cfg.name, cfg)
+        process = await self._start(cfg.name, "control", path, cfg.admin)
+        self.controls[cfg.name] = process
+        await process.wait_ready("/health")
+        return process
+
+    async def read_member_id(self, cfg):
+        """Return the id of a running control member."""
+        _, body = await fetch("GET", cfg.admin, "/member")
+        return body.decode().strip()
+
+    async def add_member(self, cfg):
+        """Add a running control member and promote it when it has caught up."""
+        member = await self.read_member_id(cfg)
+        for action in (MemberAction.ADD_LEARNER, MemberAction.PROMOTE):
+            await self.change_members(action, member, cfg.address)
+
+    async def change_members(self, action, member, address=""):
+        """Repeat a change of the members until it is accepted."""
+        message = ChangeMembers(create_id(), action, member, address)
+        with trio.fail_after(READY_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(ControlError):
+                    reply = await self.control.call(message, CALL_TIMEOUT_S)
+                    if reply.accepted:
+                        return
+                await trio.sleep(POLL_S)
+
+    async def start_entry(self, cfg):
+        """Start one entry and wait until it is ready."""
+        path = self._write(cfg.name, cfg)
+        process = await self._start(cfg.name, "entry", path, cfg.admin)
+        self.entries[cfg.name] = process
+        await process.wait_ready()
+        return process
+
+    async def apply(self, document, expected_version):
+        """Apply a configuration and return its version. Raises WisteriaError."""
+        message = ProposeConfiguration(create_id(), expected_version, document)
+        reply = await self.control.call(message, CALL_TIMEOUT_S)
+        if reply.result is not ProposeResult.ACCEPTED:
+            raise WisteriaError(f"configuration: {reply.result} {reply.problems}")
+        return reply.version
+
+    async def set_domain(self, name, state):
+        """Take a failure domain out or return it; return the new version."""
+        current = await self.control.call(ReadConfiguration(), CALL_TIMEOUT_S)
+        domains = {**current.document.domains, name: Domain(state=state)}
+        document = msgspec.structs.replace(current.document, domains=domains)
+        return await self.apply(document, current.version)
+
+    async def read_status(self):
+        """Return the state of the system as control sees it."""
+        return await self.control.call(ReadStatus(), CALL_TIMEOUT_S)
+
+    async def wait_for(self, condition):
+        """Wait until ``condition(status)`` is true."""
+        with trio.fail_after(READY_TIMEOUT_S):
+            while not condition(await self.read_status()):
+                await trio.sleep(POLL_S)
+
+    async def wait_for_holders(self):
+        """Wait until every server is held and has reported a snapshot."""
+        await self.wait_for(
+            lambda status: (
+                len(status.servers) == len(self._server_names())
+                and all(r.holder and r.snapshots for r in status.servers)
+            )
+        )
+        # The entries read the routes with their next heartbeat.
+        await trio.sleep(1.0)
+
+    def _server_names(self):
+        return [s.name for i in self.document.indexes.values() for s in i.servers]
+
+    async def fault(self, command, **fields):
+        """Send a command to the emulator's control endpoint."""
+        body = msgspec.json.encode({"command": command, **fields})
+        status, reply = await fetch("POST", self.emulator_control, "/fault", body)
+        if status != 200:
+            raise WisteriaError(f"fault {command}: {status} {reply.decode()}")
+
+    async def read_counters(self):
+        """Return what each emulated server counted, by name."""
+        _, body = await fetch("GET", self.emulator_control, "/counters")
+        return msgspec.json.decode(body)
+
+    async def search(self, entry, search, query, **options):
+        """Send one search to an entry; return status and decoded body."""
+        cfg = next(cfg for cfg in self.entry_settings if cfg.name == entry)
+        return await send_search(cfg.api, search, query, **options)
+
+    async def stop(self):
+        """Stop everything gracefully; return the exit codes by name."""
+        codes = {}
+
+        async def stop_one(process):
+            codes[process.name] = await process.stop()
+
+        for group in (self.entries, self.controls, {"emulator": self.emulator}):
+            async with trio.open_nursery() as nursery:
+                for process in group.values():
+                    nursery.start_soon(stop_one, process)
+        return codes
+
+    def _write(self, name, cfg):
+        path = self.folder / f"{name}.yaml"
+        path.write_bytes(msgspec.yaml.encode(cfg))
+        return path
+
+    async def _start(self, name, module, path, admin):
+        log = self.folder / f"{name}.out"
+        return await start_process(name, module, ["run", path], admin, log)
+
+    async def _kill_all(self):
+        processes = [*self.entries.values(), *self.controls.values()]
+        processes += [self.emulator] if self.emulator else []
+        with trio.CancelScope(shield=True):
+            for process in processes:
+                process.send(signal.SIGCONT)
+                await process.kill()
+
+
+def create_id():
+    """Return a new UUIDv7 as text."""
+    return str(uuid_utils.uuid7())
+
+
+async def send_search(
+    api,
+    search,
+    query,
+    request_id=None,
+    routing_key=None,
+    timeout_ms=None,
+    credential=CREDENTIAL,
+    timeout_s=10.0,
+):
+    """Send one search; return status and decoded body."""
+    body = {"request_id": request_id or create_id(), "query": query}
+    if routing_key is not None:
+        body["routing_key"] = routing_key
+    headers = [(b"authorization", f"Bearer {credential}".encode())]
+    if timeout_ms is not None:
+        headers.append((b"x-timeout-ms", str(timeout_ms).encode()))
+    status, data = await fetch(
+        "POST",
+        api,
+        f"/v1/searches/{search}",
+        msgspec.json.encode(body),
+        headers,
+        timeout_s,
+    )
+    return status, msgspec.json.decode(data)
