Add the replicated log as a pure state machine

Inputs are messages, time and disk notices; outputs are frozen effects. An index alone would be ambiguous after a truncation. AppendReply tells received and synced entries apart, so that the next batch leaves before the sync of the former; only synced entries count for a commit.

--- /dev/null
+++ b/src/wisteriaworks/consensus.py
@@ -0,0 +1,368 @@
+"""The replicated log of one member as a pure state machine.
+
+Inputs are messages, time and notices from the disk; outputs are the effects
+that ``take_effects`` returns. Times are in seconds on a monotonic clock.
+"""
+
+from dataclasses import dataclass
+
+from wisteriaworks.consensus_log import check
+from wisteriaworks.effects import LeadershipChanged
+from wisteriaworks.following import Following
+from wisteriaworks.generated.consensus import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    PreVote,
+    PreVoteReply,
+    RequestVote,
+    Snapshot,
+    SnapshotReply,
+    VoteReply,
+)
+from wisteriaworks.leadership import Leadership, create_tokens
+from wisteriaworks.member_state import MemberState
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Hold the intervals of the replicated log, in seconds.
+
+    A member that heard from a leader refuses votes for ``election_min_s``, and
+    a leader that did not hear from a majority for that long steps down.
+    """
+
+    heartbeat_s: float = 0.15
+    election_min_s: float = 1.0
+    election_max_s: float = 2.0
+    # A refused pre-vote costs nothing, so it is repeated sooner.
+    prevote_retry_min_s: float = 0.25
+    prevote_retry_max_s: float = 0.5
+
+
+class Consensus:
+    """Run the replicated log of one member."""
+
+    def __init__(self, member_id, stored, timing, rng, now, snapshot_every=1000):
+        self._state = MemberState(member_id, stored, snapshot_every)
+        self._timing = timing
+        self._rng = rng
+        self._tokens = create_tokens()
+        self._leadership = None
+        self._leader_id = None
+        self._reported = None
+        # A restart forgets when a leader was heard last, so it counts as now.
+        self._heard_at = now
+        self._granted = None
+        self._is_prevote = False
+        self._asked_at = now
+        self._term_leader = None
+        self._following = None
+        self._reset_deadline(now)
+        if self._state.membership.voters == [member_id]:
+            self._deadline = now
+
+    @property
+    def id(self):
+        """Return the id of this member."""
+        return self._state.id
+
+    @property
+    def term(self):
+        """Return the current term."""
+        return self._state.term
+
+    @property
+    def is_leader(self):
+        """Say whether this member leads, as far as it knows."""
+        return self._leadership is not None
+
+    @property
+    def leader_id(self):
+        """Return the id of the leader of the term, or None."""
+        return self._leader_id
+
+    @property
+    def members(self):
+        """Return the member list in force."""
+        return self._state.membership.members
+
+    @property
+    def commit_index(self):
+        """Return the index of the last entry known to be committed."""
+        return self._state.commit_index
+
+    @property
+    def log(self):
+        """Return the log, to be read only."""
+        return self._state.log
+
+    def take_effects(self):
+        """Return the effects since the last call."""
+        effects, self._state.effects = self._state.effects, []
+        return effects
+
+    def tick(self, now):
+        """Take note of the time."""
+        self._check_quorum(now)
+        if self._leadership:
+            self._leadership.tick(now)
+        elif now >= self._deadline and self._state.is_voter:
+            self._start_prevote(now)
+        self._finish_input()
+
+    def propose(self, data, now):
+        """Append a command and return its index, or None if not the leader."""
+        if not self._is_leading(now):
+            return None
+        index = self._leadership.propose(data, now)
+        self._finish_input()
+        return index
+
+    def confirm(self, now):
+        """Start to confirm leadership and return a token, or None if not the leader.
+
+        ConfirmationDone carries the token. It succeeds when a majority
+        answered a message that was sent after this call.
+        """
+        if not self._is_leading(now):
+            return None
+        token = self._leadership.confirm(now)
+        self._finish_input()
+        return token
+
+    def change_members(self, action, member_id, address, now):
+        """Change the member list and return the entry's index, or None.
+
+        None means that this member is not the leader. Raises MembershipError.
+        """
+        if not self._is_leading(now):
+            return None
+        index = self._leadership.change_members(action, member_id, address, now)
+        self._finish_input()
+        return index
+
+    def save_snapshot(self, data, request):
+        """Store the state that a TakeSnapshot effect asked for."""
+        snapshot = Snapshot(
+            last_index=request.last_index,
+            last_term=request.last_term,
+            members=request.members,
+            data=data,
+        )
+        self._state.save_snapshot(snapshot)
+
+    def handle_synced(self, sequence, now):
+        """Take note that all disk effects up to ``sequence`` are durable."""
+        synced_before = self._state.sync.index
+        self._state.handle_synced(sequence)
+        self._check_quorum(now)
+        if self._leadership:
+            self._leadership.advance_commit(now)
+        elif self._granted is not None and not self._is_prevote:
+            self._count_own_vote(now)
+        elif self._following and self._state.sync.index > synced_before:
+            self._following.acknowledge()
+        self._finish_input()
+
+    def receive(self, message, now):
+        """Handle a message from another member."""
+        # Checked first, since a frozen leader may find replies from before
+        # the freeze while another leader has been elected.
+        self._check_quorum(now)
+        match message:
+            case PreVote():
+                self._handle_prevote(message, now)
+            case PreVoteReply():
+                self._handle_prevote_reply(message, now)
+            case RequestVote():
+                self._handle_request_vote(message, now)
+            case _:
+                self._handle_in_term(message, now)
+        self._finish_input()
+
+    def _handle_in_term(self, message, now):
+        if message.term > self.term:
+            self._enter_term(message.term)
+        if message.term < self.term:
+            if isinstance(message, AppendEntries | InstallSnapshot):
+                self._refuse_leader(message)
+            return
+        match message:
+            case VoteReply():
+                self._handle_vote_reply(message, now)
+            case AppendEntries():
+                self._follow(message.sender, now)
+                self._following.handle_append(message)
+            case InstallSnapshot():
+                self._follow(message.sender, now)
+                self._following.handle_install(message)
+            case AppendReply() if self._leadership:
+                self._leadership.handle_append_reply(message, now)
+            case SnapshotReply() if self._leadership:
+                self._leadership.handle_snapshot_reply(message, now)
+
+    def _refuse_leader(self, message):
+        # The higher term makes a deposed leader step down.
+        reply = AppendReply(
+            term=self.term,
+            sender=self.id,
+            round=message.round,
+            accepted=False,
+            match_index=0,
+            received_index=0,
+        )
+        self._state.send(message.sender, reply)
+
+    def _follow(self, leader_id, now):
+        check(self._term_leader in (None, leader_id), "a term has one leader")
+        if self._following is None:
+            self._following = Following(self._state, leader_id)
+        self._term_leader = self._leader_id = leader_id
+        self._granted = None
+        self._heard_at = now
+        self._reset_deadline(now)
+
+    def _is_leading(self, now):
+        self._check_quorum(now)
+        self._finish_input()
+        return self.is_leader
+
+    def _check_quorum(self, now):
+        if self._leadership and not self._leadership.has_quorum(now):
+            self._step_down()
+            self._reset_deadline(now)
+
+    def _finish_input(self):
+        if self._leadership and self._leadership.is_over:
+            self._step_down()
+        shown = LeadershipChanged(self.term, self._leader_id, self.is_leader)
+        if shown != self._reported:
+            self._reported = shown
+            self._state.effects.append(shown)
+
+    def _step_down(self):
+        if self._leadership:
+            self._leadership.fail_confirmations()
+        self._leadership = None
+        self._leader_id = None
+        self._granted = None
+
+    def _enter_term(self, term, voted_for=None):
+        self._step_down()
+        self._term_leader = self._following = None
+        self._state.set_vote(term, voted_for)
+
+    def _reset_deadline(self, now):
+        low, high = self._timing.election_min_s, self._timing.election_max_s
+        self._deadline = now + self._rng.uniform(low, high)
+
+    def _is_leader_recent(self, now):
+        return self.is_leader or now - self._heard_at < self._timing.election_min_s
+
+    def _is_up_to_date(self, message):
+        log = self._state.log
+        theirs = (message.last_term, message.last_index)
+        return theirs >= (log.last_term, log.last_index)
+
+    # Elections
+
+    def _start_prevote(self, now):
+        low = self._timing.prevote_retry_min_s
+        high = self._timing.prevote_retry_max_s
+        self._deadline = now + self._rng.uniform(low, high)
+        self._leader_id = None
+        self._is_prevote = True
+        self._granted = {self.id}
+        self._ask_voters(PreVote, self.term + 1)
+        self._count_votes(now)
+
+    def _start_election(self, now):
+        self._reset_deadline(now)
+        self._enter_term(self.term + 1, voted_for=self.id)
+        self._is_prevote = False
+        self._granted = set()
+        self._asked_at = now
+        self._ask_voters(RequestVote, self.term)
+
+    def _ask_voters(self, kind, term):
+        log = self._state.log
+        message = kind(
+            term=term,
+            sender=self.id,
+            last_index=log.last_index,
+            last_term=log.last_term,
+        )
+        for voter in self._state.membership.voters:
+            if voter != self.id:
+                self._state.send(voter, message)
+
+    def _count_own_vote(self, now):
+        if self._state.is_vote_synced:
+            self._granted.add(self.id)
+            self._count_votes(now)
+
+    def _count_votes(self, now):
+        membership = self._state.membership
+        granted = self._granted.intersection(membership.voters)
+        if len(granted) < membership.majority:
+            return
+        if self._is_prevote:
+            self._start_election(now)
+        elif self.id in granted:
+            self._lead(granted, now)
+
+    def _lead(self, granted, now):
+        contacts = dict.fromkeys(granted, self._asked_at)
+        self._granted = None
+        self._term_leader = self._leader_id = self.id
+        self._leadership = Leadership(
+            self._state, self._timing, contacts, self._tokens, now
+        )
+
+    def _handle_prevote(self, message, now):
+        granted = (
+            message.term > self.term
+            and not self._is_leader_recent(now)
+            and self._is_up_to_date(message)
+        )
+        term = message.term if granted else self.term
+        reply = PreVoteReply(term=term, sender=self.id, granted=granted)
+        self._state.send(message.sender, reply)
+
+    def _handle_prevote_reply(self, message, now):
+        if not message.granted and message.term > self.term:
+            self._enter_term(message.term)
+        is_current = self._granted is not None and self._is_prevote
+        if message.granted and is_current and message.term == self.term + 1:
+            self._granted.add(message.sender)
+            self._count_votes(now)
+
+    def _handle_request_vote(self, message, now):
+        # Ignored without taking over the term, so that a member that was cut
+        # off cannot depose a leader that a majority hears.
+        is_repeated = message.term == self.term and (
+            self._state.voted_for == message.sender
+        )
+        if self._is_leader_recent(now) and not is_repeated:
+            return
+        if message.term > self.term:
+            self._enter_term(message.term)
+        free = self._state.voted_for in (None, message.sender)
+        granted = message.term == self.term and free and self._is_up_to_date(message)
+        if granted:
+            self._grant(message.sender, now)
+        reply = VoteReply(term=self.term, sender=self.id, granted=granted)
+        self._state.send(message.sender, reply)
+
+    def _grant(self, candidate, now):
+        self._heard_at = now
+        self._reset_deadline(now)
+        if self._state.voted_for is None:
+            self._state.set_vote(self.term, candidate)
+
+    def _handle_vote_reply(self, message, now):
+        is_current = self._granted is not None and not self._is_prevote
+        if message.granted and is_current:
+            self._granted.add(message.sender)
+            self._count_votes(now)
--- /dev/null
+++ b/src/wisteriaworks/consensus_log.py
@@ -0,0 +1,122 @@
+"""The log of one member in memory, and what of it is synced to disk."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from wisteriaworks.errors import InvariantError
+from wisteriaworks.generated.consensus import LogEntry, Snapshot
+
+# Limits one AppendEntries, so that heartbeats behind it are not delayed.
+BATCH_ENTRIES = 256
+BATCH_BYTES = 1024 * 1024
+
+
+def check(condition, text):
+    """Raise InvariantError unless an invariant holds."""
+    if not condition:
+        raise InvariantError(f"broken invariant: {text}")
+
+
+@dataclass(frozen=True, slots=True)
+class StoredState:
+    """Hold what a member finds on its disk when it starts.
+
+    ``entries`` follow the snapshot without a gap.
+    """
+
+    term: int = 0
+    voted_for: str | None = None
+    snapshot: Snapshot | None = None
+    entries: tuple[LogEntry, ...] = ()
+
+
+class Log:
+    """Hold the entries after a compacted prefix, which ends at ``base_index``."""
+
+    def __init__(self, base_index, base_term, entries):
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries = []
+        self.append(entries)
+
+    @property
+    def last_index(self):
+        """Return the index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self):
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def term_at(self, index):
+        """Return the term of an entry, or None if it is not known."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def get(self, first_index, last_index):
+        """Return the entries of a range, both ends included."""
+        start = first_index - self.base_index - 1
+        check(start >= 0, "a compacted entry is not read")
+        return tuple(self._entries[start : last_index - self.base_index])
+
+    def get_batch(self, first_index):
+        """Return entries from ``first_index`` on, within the batch limits."""
+        batch, size = [], 0
+        for entry in self.get(first_index, first_index + BATCH_ENTRIES - 1):
+            size += len(entry.data)
+            if batch and size > BATCH_BYTES:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def append(self, entries):
+        """Append entries, which follow the last one."""
+        for entry in entries:
+            check(entry.index == self.last_index + 1, "log entries have no gaps")
+            self._entries.append(entry)
+
+    def truncate(self, first_index):
+        """Remove the entries from ``first_index`` on."""
+        del self._entries[first_index - self.base_index - 1 :]
+
+    def compact(self, last_index):
+        """Forget the entries up to ``last_index``."""
+        term = self.term_at(last_index)
+        del self._entries[: last_index - self.base_index]
+        self.base_index, self.base_term = last_index, term
+
+    def reset(self, last_index, last_term):
+        """Forget all entries; the compacted prefix ends at ``last_index``."""
+        self._entries.clear()
+        self.base_index, self.base_term = last_index, last_term
+
+
+class SyncTracker:
+    """Track the last log index that is durable.
+
+    A truncation caps the index of writes that are still under way, because
+    what they make durable beyond it is no longer part of the log.
+    """
+
+    def __init__(self, index):
+        self.index = index
+        self._writes = deque()
+
+    def add(self, sequence, index):
+        """Note a write after which the log is durable up to ``index``."""
+        self._writes.append((sequence, index))
+
+    def truncate(self, first_index):
+        """Note the removal of the entries from ``first_index`` on."""
+        last = first_index - 1
+        self.index = min(self.index, last)
+        self._writes = deque((seq, min(at, last)) for seq, at in self._writes)
+
+    def confirm(self, sequence):
+        """Note that all writes up to ``sequence`` are durable."""
+        while self._writes and self._writes[0][0] <= sequence:
+            self.index = max(self.index, self._writes.popleft()[1])
--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -115,6 +115,37 @@
     exit_code = 5
 
 
+class StorageError(WisteriaError):
+    """Report a data folder that is damaged or that cannot be used."""
+
+    exit_code = 6
+
+
+class InvariantError(WisteriaError):
+    """Report a broken invariant; the process must stop."""
+
+    exit_code = 7
+
+
+class NotLeaderError(WisteriaError):
+    """Report that this member does not lead; nothing was proposed.
+
+    ``leader_address`` is None if no leader is known.
+    """
+
+    def __init__(self, leader_address):
+        super().__init__(f"not the leader; the leader is {leader_address or 'unknown'}")
+        self.leader_address = leader_address
+
+
+class ProposalUnknownError(WisteriaError):
+    """Report a proposal that may or may not take effect."""
+
+
+class MembershipError(WisteriaError):
+    """Report a change of members that is not allowed now."""
+
+
 class RequestError(WisteriaError):
     """Carry the error kind of one refused request."""
 
