--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -51,6 +51,8 @@
     CONFIGURATION_ACCEPTED = _Spec(506, "INFO", "configuration accepted")
     SESSION_CLOSED = _Spec(507, "INFO", "session closed")
     SERVERS_ASSIGNED = _Spec(508, "INFO", "servers assigned")
+    DISK_CREATED = _Spec(509, "INFO", "data folder got a new disk identity")
+    SNAPSHOT_RESTORED = _Spec(510, "INFO", "snapshot of the leader restored")
 
 
 def log_event(event, **fields):
