Add the trio shell of the replicated log

Cause: the pure state machine needs disk, network and time. Messages to one member keep their order on one channel, which is replaced if it does not answer within 0.5 s, less than the shortest election timeout.

--- /dev/null
+++ b/src/wisteriaworks/message_sender.py
@@ -0,0 +1,119 @@
+"""Send one-way messages to the other members of the replicated log."""
+
+from collections import deque
+
+import trio
+
+from wisteriaworks import rpc
+from wisteriaworks.errors import RpcError
+from wisteriaworks.generated.consensus import Deliver
+
+# A connection that does not answer this long is replaced. Less than the
+# shortest election timeout, so that a silent connection costs no election.
+DELIVER_TIMEOUT_S = 0.5
+RECONNECT_S = 0.05
+# A recipient that sends no reply for this long has left.
+IDLE_S = 60.0
+_QUEUED_MESSAGES = 256
+_UNANSWERED_MESSAGES = 64
+
+
+class _Recipient:
+    """Queue the messages to one member."""
+
+    def __init__(self, address):
+        self.address = address
+        self.scope = trio.CancelScope()
+        # The oldest messages are dropped first; consensus repeats them.
+        self._queue = deque(maxlen=_QUEUED_MESSAGES)
+        self._wake = trio.Event()
+
+    def put(self, message):
+        self._queue.append(message)
+        self._wake.set()
+
+    def clear(self):
+        self._queue.clear()
+
+    async def get(self):
+        while not self._queue:
+            self._wake = trio.Event()
+            await self._wake.wait()
+        return self._queue.popleft()
+
+
+class MessageSender:
+    """Send messages in order while a connection holds, and drop them otherwise."""
+
+    def __init__(self, own_address, nursery):
+        self._own_address = own_address
+        self._nursery = nursery
+        self._recipients = {}
+
+    def send(self, member_id, address, message):
+        """Queue a consensus message to a member."""
+        recipient = self._recipients.get(member_id)
+        if recipient is None or recipient.address != address:
+            recipient = self._start(member_id, address)
+        deliver = Deliver(
+            recipient=member_id, address=self._own_address, message=message
+        )
+        recipient.put(deliver)
+
+    def _start(self, member_id, address):
+        if member_id in self._recipients:
+            self._recipients[member_id].scope.cancel()
+        recipient = self._recipients[member_id] = _Recipient(address)
+        self._nursery.start_soon(self._run, member_id, recipient)
+        return recipient
+
+    async def _run(self, member_id, recipient):
+        with recipient.scope:
+            while await self._send_until_failure(recipient):
+                recipient.clear()
+                await trio.sleep(RECONNECT_S)
+        if self._recipients.get(member_id) is recipient:
+            del self._recipients[member_id]
+
+    async def _send_until_failure(self, recipient):
+        """Send messages over one channel; return False if there are no more."""
+        limiter = trio.CapacityLimiter(_UNANSWERED_MESSAGES)
+        channel = rpc.Channel(recipient.address)
+        async with channel, trio.open_nursery() as calls:
+            while True:
+                deliver = None
+                with trio.move_on_after(IDLE_S):
+                    deliver = await recipient.get()
+                if deliver is None:
+                    return False
+                call = _Call(channel, deliver, limiter, calls.cancel_scope)
+                calls.start_soon(call.run)
+                await call.queued.wait()
+        return True
+
+
+class _Call:
+    """Send one message and wait until the recipient has handled it."""
+
+    def __init__(self, channel, deliver, limiter, failure_scope):
+        self._channel = channel
+        self._deliver = deliver
+        self._limiter = limiter
+        self._failure_scope = failure_scope
+        self.queued = trio.Event()
+
+    async def run(self):
+        try:
+            async with self._limiter:
+                await self._exchange()
+        except RpcError:
+            self._failure_scope.cancel()
+        finally:
+            self.queued.set()
+
+    async def _exchange(self):
+        stream = self._channel.stream(self._deliver, DELIVER_TIMEOUT_S)
+        async with stream as replies:
+            self.queued.set()
+            async for _ in replies:
+                pass
