--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -149,6 +149,37 @@
     exit_code = 8
 
 
+class StorageError(WisteriaError):
+    """Report a data folder that is damaged or that cannot be used."""
+
+    exit_code = 9
+
+
+class InvariantError(WisteriaError):
+    """Report a broken invariant; the process must stop."""
+
+    exit_code = 10
+
+
+class NotLeaderError(WisteriaError):
+    """Report that this member does not lead; nothing was proposed.
+
+    ``leader_address`` is None if no leader is known.
+    """
+
+    def __init__(self, leader_address):
+        super().__init__(f"not the leader; the leader is {leader_address or 'unknown'}")
+        self.leader_address = leader_address
+
+
+class ProposalUnknownError(WisteriaError):
+    """Report a proposal that may or may not take effect."""
+
+
+class MembershipError(WisteriaError):
+    """Report a change of members that is not allowed now."""
+
+
 class RequestError(WisteriaError):
     """Carry the error kind of one refused request."""
 
