--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -55,6 +55,7 @@
     SERVERS_ASSIGNED = _Spec(508, "INFO", "servers assigned")
     DISK_CREATED = _Spec(509, "INFO", "data folder got a new disk identity")
     SNAPSHOT_RESTORED = _Spec(510, "INFO", "snapshot of the leader restored")
+    PLATFORM_UNREADABLE = _Spec(511, "WARNING", "list of VMs cannot be read")
 
 
 def log_event(event, **fields):
