--- a/src/wisteriaworks/attempts.py
+++ b/src/wisteriaworks/attempts.py
@@ -1,10 +1,13 @@
 """Describe attempts of sub-queries and what follows from their outcomes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
-from wisteriaworks.catalog import Replica
-from wisteriaworks.generated.subqueries import SubqueryOutcome
+import trio
+
+from wisteriaworks.catalog import Replica, ShardPlan
+from wisteriaworks.generated.subqueries import SubqueryBatch, SubqueryOutcome
+from wisteriaworks.merge import ShardReply
 
 
 class AttemptKind(Enum):
@@ -14,6 +17,8 @@
     HEDGE = "hedge"
     RETRY = "retry"
     RESEND = "resend"
+    # The only attempt of a non-idempotent request.
+    ONCE = "once"
 
 
 class AttemptOutcome(Enum):
@@ -36,12 +41,16 @@
     NO_REPLY = "no_reply"
     OTHER_SNAPSHOT = "other_snapshot"
     MALFORMED = "malformed"
+    # Another attempt of the shard answered first.
+    LOST_RACE = "lost_race"
+    # The query was started again on another snapshot.
     CANCELLED = "cancelled"
 
 
 class Action(Enum):
     """Say what follows from the outcome of an attempt."""
 
+    NONE = "none"
     MERGE = "merge"
     RESTART = "restart"
     # Nothing ran: ask again outside the retry budget.
@@ -89,9 +98,12 @@
     # The time that the holder was given has passed.
     AttemptOutcome.TIMED_OUT: Rule(Action.RETRY, Health.BAD, same_server=False),
     AttemptOutcome.FAILED: _FAULT,
-    AttemptOutcome.BROKEN: _FAULT,
+    # The holder's connection broke; its servers are avoided for a moment.
+    AttemptOutcome.BROKEN: Rule(Action.RETRY, Health.REFUSED, same_server=True),
     AttemptOutcome.NO_REPLY: _FAULT,
     AttemptOutcome.MALFORMED: _FAULT,
+    AttemptOutcome.LOST_RACE: Rule(Action.NONE, Health.BAD, same_server=False),
+    AttemptOutcome.CANCELLED: Rule(Action.NONE, Health.NEUTRAL, same_server=False),
     AttemptOutcome.OTHER_SNAPSHOT: Rule(Action.RETRY, Health.NEUTRAL, same_server=True),
 }
 
@@ -107,20 +119,47 @@
     return _OUTCOMES[reply.outcome]
 
 
+@dataclass(slots=True, eq=False)
+class ShardProgress:
+    """Hold the state of one shard during a fan-out."""
+
+    plan: ShardPlan
+    # Names of the servers that were asked.
+    tried: set[str] = field(default_factory=set)
+    in_flight: "list[Attempt]" = field(default_factory=list)
+    retries: int = 0
+    resends: int = 0
+    done: bool = False
+    reply: ShardReply | None = None
+    # Why the shard is missing, if it has no reply.
+    reason: str = AttemptOutcome.TIMED_OUT.value
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """Hold one attempt while it is in flight."""
+    """Hold one attempt of a sub-query."""
 
     number: int
     kind: AttemptKind
-    shard: object
+    progress: ShardProgress
     replica: Replica
     started_at: float
-    call: object = None
+    call: "BatchCall | None" = None
     outcome: AttemptOutcome | None = None
     time_s: float = 0.0
 
 
+@dataclass(slots=True, eq=False)
+class BatchCall:
+    """Hold one batch while its replies arrive."""
+
+    address: str
+    batch: SubqueryBatch
+    # Attempts without a reply, by number.
+    open: dict[int, Attempt]
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptRecord:
     """Explain one attempt of a finished search."""
@@ -134,3 +173,18 @@
     kind: AttemptKind
     outcome: AttemptOutcome
     time_ms: float
+
+
+def make_record(start, attempt):
+    """Return the record of a finished attempt."""
+    plan, replica = attempt.progress.plan, attempt.replica
+    return AttemptRecord(
+        start=start,
+        index=plan.index,
+        shard=plan.shard,
+        server=replica.server,
+        holder=replica.address,
+        kind=attempt.kind,
+        outcome=attempt.outcome,
+        time_ms=attempt.time_s * 1000,
+    )
--- a/src/wisteriaworks/budget.py
+++ b/src/wisteriaworks/budget.py
@@ -21,13 +21,11 @@
         """Add ``ratio`` tokens for each primary attempt, up to the cap."""
         self._tokens = min(self._cap, self._tokens + primaries * ratio)
 
+    def has_token(self):
+        """Say whether ``take`` may be called."""
+        return self._tokens >= 1.0
+
     def take(self):
-        """Take one token. Return whether there was one."""
-        if self._tokens < 1.0:
-            return False
+        """Take one token for an attempt that is sent now."""
+        assert self.has_token(), "the budget is overdrawn"
         self._tokens -= 1.0
-        return True
-
-    def give_back(self):
-        """Return a token whose attempt was not sent."""
-        self._tokens = min(self._cap, self._tokens + 1.0)
--- a/src/wisteriaworks/catalog.py
+++ b/src/wisteriaworks/catalog.py
@@ -60,7 +60,7 @@
 
     def __init__(self, view, previous=None):
         self.view = view
-        self._previous = dict(previous._tables) if previous else {}
+        self._previous = previous._list_tables() if previous else {}
         self._tables = {}
         self._ranked = {}
 
@@ -75,8 +75,13 @@
             ranked = self._ranked[indexes] = self._rank(indexes)
         return ranked
 
+    def _list_tables(self):
+        names = self.view.document.indexes
+        tables = {**self._previous, **self._tables}
+        return {name: tables[name] for name in tables if name in names}
+
     def _rank(self, indexes):
-        tables = [self._find_table(index).shards for index in indexes]
+        tables = [self._find_table(index).shards for index in dict.fromkeys(indexes)]
         common = set.intersection(*(set(table) for table in tables))
         plans = [_plan_snapshot(snapshot, tables) for snapshot in common]
         plans.sort(key=lambda plan: (plan.coverage, plan.snapshot), reverse=True)
@@ -89,17 +94,15 @@
         return table
 
     def _derive_table(self, name):
-        index = self.view.document.indexes.get(name)
-        servers = index.servers if index else ()
-        source = (
-            servers,
-            tuple(self.view.routes.get(server.name) for server in servers),
-            tuple(self.view.is_domain_out(server.domain) for server in servers),
-        )
+        document = self.view.document
+        servers = document.indexes[name].servers if name in document.indexes else ()
+        routes = tuple(self.view.routes.get(server.name) for server in servers)
+        source = (servers, routes, document.domains)
         previous = self._previous.get(name)
         if previous is not None and previous.source == source:
             return previous
-        return _IndexTable(source, _derive_shards(name, *source))
+        out = [self.view.is_domain_out(server.domain) for server in servers]
+        return _IndexTable(source, _derive_shards(name, servers, routes, out))
 
 
 def _derive_shards(index, servers, routes, domains_out):
--- /dev/null
+++ b/src/wisteriaworks/feedback.py
@@ -0,0 +1,71 @@
+"""Report finished attempts to the routing and to the latency estimates."""
+
+from wisteriaworks.attempts import RULES, Action, AttemptKind, AttemptOutcome, Health
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.routing import SLOW_FACTOR
+
+
+def report_load(router, replica, outcome, load, now):
+    """Report the load in a reply, if the outcome says something about load."""
+    rule = RULES[outcome]
+    if rule.action is Action.MERGE:
+        router.report_load(replica, load, now)
+    elif rule.action is Action.RESEND and rule.health is Health.NEUTRAL:
+        # A server without a free slot is at least fully loaded.
+        router.report_load(replica, max(load, replica.slots), now)
+
+
+def report_attempt(shared, attempt, now):
+    """Report how an attempt ended."""
+    p95_s = shared.latency.read_p95(attempt.progress.plan.index, now)
+    _report_health(shared.router, attempt, p95_s, now)
+    if _is_timed(attempt, p95_s):
+        index = attempt.progress.plan.index
+        shared.latency.observe(index, attempt.time_s, now)
+
+
+def _is_timed(attempt, p95_s):
+    """Say whether the time of an attempt belongs in the estimate of its index.
+
+    Primaries that were given up late are counted with the time they had;
+    otherwise each hedge that wins would shorten the estimate. Those given up
+    early, at a short deadline, say nothing about the p95.
+    """
+    if attempt.kind is not AttemptKind.PRIMARY:
+        return False
+    if attempt.outcome is AttemptOutcome.ANSWERED:
+        return True
+    given_up = attempt.outcome in (AttemptOutcome.LOST_RACE, AttemptOutcome.TIMED_OUT)
+    return given_up and attempt.time_s >= p95_s
+
+
+def _report_health(router, attempt, p95_s, now):
+    replica = attempt.replica
+    match _judge(attempt, p95_s):
+        case Health.GOOD:
+            router.report_good(replica)
+        case Health.BAD if router.report_bad(replica, now):
+            _log_ejection(attempt)
+        case Health.REFUSED if router.report_refused(replica, now):
+            _log_ejection(attempt)
+
+
+def _judge(attempt, p95_s):
+    match attempt.outcome:
+        case AttemptOutcome.ANSWERED if attempt.time_s > SLOW_FACTOR * p95_s:
+            return Health.BAD
+        case AttemptOutcome.LOST_RACE if attempt.kind is AttemptKind.HEDGE:
+            return Health.NEUTRAL
+        # A caller's short deadline is no fault of the server.
+        case AttemptOutcome.TIMED_OUT if attempt.time_s < p95_s:
+            return Health.NEUTRAL
+    return RULES[attempt.outcome].health
+
+
+def _log_ejection(attempt):
+    log_event(
+        Event.REPLICA_EJECTED,
+        server=attempt.replica.server,
+        outcome=attempt.outcome.value,
+        time_ms=round(attempt.time_s * 1000, 1),
+    )
--- a/src/wisteriaworks/hedging.py
+++ b/src/wisteriaworks/hedging.py
@@ -5,8 +5,9 @@
 import math
 from dataclasses import dataclass
 
-from wisteriaworks.attempts import Action
+from wisteriaworks.attempts import RULES, Action, AttemptKind, ShardProgress
 from wisteriaworks.budget import TokenBudget
+from wisteriaworks.catalog import Replica
 from wisteriaworks.latency import LatencyTable
 from wisteriaworks.routing import Router
 
@@ -58,25 +59,70 @@
     return SharedState(Router(rng), LatencyTable(), TokenBudget(), TokenBudget())
 
 
-class RepeatLimit:
-    """Limit the resends and retries of one request."""
+@dataclass(frozen=True, slots=True)
+class Pick:
+    """Hold one attempt that is to be made."""
+
+    kind: AttemptKind
+    progress: ShardProgress
+    replica: Replica
+    # Time before the attempt, because the same server is asked again.
+    pause_s: float = 0.0
+
+
+class RepeatPolicy:
+    """Select hedges, retries and resends of one request, within its limits."""
 
-    def __init__(self, shards, retry_budget):
+    def __init__(self, shared, shards):
+        self._shared = shared
         self._resends = max(RESENDS_PER_REQUEST, int(shards * RESENT_SHARE))
-        self._retry_budget = retry_budget
 
-    def allow(self, action, progress):
-        """Count one more attempt of a shard if the limits allow it."""
+    def pick_repeat(self, failed, now):
+        """Return the Pick that follows a failed attempt, or None."""
+        progress = failed.progress
+        rule = RULES[failed.outcome]
+        if not self._allow(rule.action, progress):
+            return None
+        kind = AttemptKind.RETRY
+        if rule.action is Action.RESEND:
+            kind = AttemptKind.RESEND
+        replicas = progress.plan.replicas
+        replica = self._shared.router.pick(replicas, progress.tried, now)
+        if replica is not None:
+            pick = Pick(kind, progress, replica)
+        elif rule.same_server:
+            pick = Pick(kind, progress, failed.replica, PAUSE_S)
+        else:
+            return None
+        self._count(kind, progress)
+        return pick
+
+    def _allow(self, action, progress):
         if action is Action.RESEND:
-            return self._allow_resend(progress)
-        if progress.retries >= RETRIES_PER_SHARD or not self._retry_budget.take():
-            return False
-        progress.retries += 1
-        return True
-
-    def _allow_resend(self, progress):
-        if progress.resends >= RESENDS_PER_SHARD or not self._resends:
-            return False
-        self._resends -= 1
-        progress.resends += 1
-        return True
+            return self._resends > 0 and progress.resends < RESENDS_PER_SHARD
+        has_token = self._shared.retry_budget.has_token()
+        return has_token and progress.retries < RETRIES_PER_SHARD
+
+    def _count(self, kind, progress):
+        if kind is AttemptKind.RESEND:
+            self._resends -= 1
+            progress.resends += 1
+        else:
+            self._shared.retry_budget.take()
+            progress.retries += 1
+
+    def pick_hedges(self, shards, now):
+        """Return the Picks for late shards, and the shards without a token."""
+        picks, refused = [], []
+        for progress in shards:
+            if progress.done or len(progress.in_flight) != 1:
+                continue
+            if not self._shared.hedge_budget.has_token():
+                refused.append(progress)
+                continue
+            replicas = progress.plan.replicas
+            replica = self._shared.router.pick(replicas, progress.tried, now)
+            if replica is not None:
+                self._shared.hedge_budget.take()
+                picks.append(Pick(AttemptKind.HEDGE, progress, replica))
+        return picks, refused
--- a/src/wisteriaworks/latency.py
+++ b/src/wisteriaworks/latency.py
@@ -24,17 +24,22 @@
     """Estimate one quantile over the last one to two windows.
 
     Counts are kept in logarithmic buckets. ``hdrhistogram`` does the same but
-    takes 2.7 us per observation, ten times as long as a list of counts.
+    takes 2.7 us per observation, several times as long as a list of counts.
+    With ``forget`` the estimate returns to ``start_s`` when there are too few
+    recent observations; otherwise it keeps its last value.
     """
 
-    def __init__(self, quantile, floor_s=FLOOR_S, start_s=START_S):
+    def __init__(self, quantile, floor_s=FLOOR_S, start_s=START_S, forget=False):
         self._quantile = quantile
         self._floor_s = floor_s
+        self._start_s = start_s
         self._value_s = start_s
+        self._forget = forget
         self._current = [0] * _BUCKETS
         self._previous = [0] * _BUCKETS
         self._window_end = -math.inf
         self._unread = 0
+        self._refresh_count = MINIMUM_COUNT
 
     def observe(self, time_s, now):
         """Count one observation."""
@@ -44,7 +49,7 @@
         bucket = int(math.log(ratio) * _BUCKETS_PER_E)
         self._current[min(bucket, _BUCKETS - 1)] += 1
         self._unread += 1
-        if self._unread >= REFRESH_COUNT:
+        if self._unread >= self._refresh_count:
             self._refresh()
 
     def read(self, now):
@@ -65,7 +70,10 @@
         counts = [a + b for a, b in zip(self._current, self._previous, strict=True)]
         total = sum(counts)
         if total < MINIMUM_COUNT:
+            if self._forget:
+                self._value_s = self._start_s
             return
+        self._refresh_count = REFRESH_COUNT
         self._value_s = max(
             self._floor_s, _find_quantile(counts, total * self._quantile)
         )
--- a/src/wisteriaworks/routing.py
+++ b/src/wisteriaworks/routing.py
@@ -11,7 +11,8 @@
 # A replica counts as slow from this multiple of the index's p95.
 SLOW_FACTOR = 4.0
 FIRST_EJECTION_S = 1.0
-LONGEST_EJECTION_S = 30.0
+# A server that is well again must not stay idle for long.
+LONGEST_EJECTION_S = 8.0
 # A trial whose reply never comes must not keep a replica ejected for good.
 TRIAL_TIMEOUT_S = 1.0
 
@@ -36,13 +37,16 @@
         self._rng = rng
         self._conditions = {}
 
-    def pick(self, replicas, tried, now):
-        """Return a replica that was not tried, or None if there is none."""
+    def pick(self, replicas, tried, now, trials=True):
+        """Return a replica that was not tried, or None if there is none.
+
+        With ``trials`` the request may test a replica whose ejection has ended.
+        """
         fresh = [r for r in replicas if r.server not in tried] if tried else replicas
         if not fresh:
             return None
         # The last replica is never ejected: a slow answer is better than none.
-        open_ones = [r for r in fresh if self._is_open(r, now)] or fresh
+        open_ones = [r for r in fresh if self._is_open(r, now, trials)] or fresh
         replica = self._pick_less_loaded(open_ones, now)
         self._count_start(replica, now)
         return replica
@@ -66,40 +70,43 @@
         condition.bad += 1
         if condition.bad < BAD_REPLIES or now < condition.ejected_until:
             return False
-        return self._eject(condition, now)
+        longer = max(FIRST_EJECTION_S, 2 * condition.ejection_s)
+        return self._eject(condition, min(LONGEST_EJECTION_S, longer), now)
 
     def report_refused(self, replica, now):
-        """Record that a server takes no work now. Return whether it is ejected."""
+        """Record that a server takes no work now. Return whether it is ejected.
+
+        A refusal costs one hop and no work, so the ejection does not get longer.
+        """
         condition = self._find(replica)
         condition.bad = BAD_REPLIES
-        return now >= condition.ejected_until and self._eject(condition, now)
+        if now < condition.ejected_until:
+            return False
+        return self._eject(condition, FIRST_EJECTION_S, now)
 
-    def _eject(self, condition, now):
-        longer = max(FIRST_EJECTION_S, 2 * condition.ejection_s)
-        condition.ejection_s = min(LONGEST_EJECTION_S, longer)
+    def _eject(self, condition, time_s, now):
+        condition.ejection_s = time_s
         condition.ejected_until = now + condition.ejection_s
         condition.trial_until = 0.0
         return True
 
-    def _is_open(self, replica, now):
+    def _is_open(self, replica, now, trials):
         condition = self._conditions.get(replica.server)
         if condition is None or condition.ejection_s == 0.0:
             return True
         if condition.epoch != replica.epoch:
             return True
-        return now >= condition.ejected_until and now >= condition.trial_until
+        trial_due = now >= condition.ejected_until and now >= condition.trial_until
+        return trials and trial_due
 
     def _pick_less_loaded(self, replicas, now):
         if len(replicas) == 1:
             return replicas[0]
-        first, second = replicas
-        if len(replicas) > 2:
-            first, second = self._rng.sample(replicas, 2)
+        # Two of three or more; with two, the sample only avoids a fixed order.
+        first, second = self._rng.sample(replicas, 2)
         first_load = self._estimate_load(first, now)
         second_load = self._estimate_load(second, now)
-        if first_load == second_load:
-            return first if self._rng.random() < 0.5 else second
-        return first if first_load < second_load else second
+        return first if first_load <= second_load else second
 
     def _estimate_load(self, replica, now):
         condition = self._conditions.get(replica.server)
--- a/src/wisteriaworks/search.py
+++ b/src/wisteriaworks/search.py
@@ -1,27 +1,24 @@
 """Run searches: plan, fan out, restart once, merge before the deadline."""
 
+import functools
 import itertools
 from collections import Counter
 from dataclasses import dataclass, replace
 from enum import Enum
 
-import msgspec
 import trio
 
-from wisteriaworks.attempts import AttemptOutcome, AttemptRecord, read_outcome
+from wisteriaworks.attempts import AttemptRecord
 from wisteriaworks.catalog import CatalogCache, SnapshotPlan
-from wisteriaworks.errors import ErrorKind, RpcError
+from wisteriaworks.errors import ErrorKind
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.fan_out import HOP_ALLOWANCE_S, NO_REPLICA, FanOut, FanOutTask
 from wisteriaworks.generated.document import Routing
-from wisteriaworks.generated.subqueries import (
-    SubqueryBatch,
-    SubqueryItem,
-    SubqueryOutcome,
-)
+from wisteriaworks.generated.subqueries import SubqueryBatch
 from wisteriaworks.hedging import create_shared_state
-from wisteriaworks.merge import NO_COVERAGE, Coverage, Hit, decode_hits, merge_replies
+from wisteriaworks.merge import NO_COVERAGE, Coverage, Hit, merge_replies
 from wisteriaworks.routing import pick_keyed_shard
+from wisteriaworks.single_attempt import make_items, make_single_attempt, refuse
 
 # Time for merging and sending, so that the caller gets a partial answer in time.
 ANSWER_ALLOWANCE_S = 0.003
@@ -36,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SearchRequest:
-    """Describe one request of a caller that was let in."""
+    """Describe one request that was admitted."""
 
     search: str
     request_id: str
@@ -56,35 +53,12 @@
 
     outcome: SearchOutcome | ErrorKind
     hits: tuple[Hit, ...] = ()
-    # 0 if none was selected.
+    # 0 if no snapshot was selected.
     snapshot: int = 0
     coverage: Coverage = NO_COVERAGE
     explanation: tuple[AttemptRecord, ...] = ()
 
 
-class OnceOutcome(Enum):
-    """Say what is known of the single attempt of a request."""
-
-    DONE = "done"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class OnceResult:
-    """Hold the result of the single attempt of a non-idempotent request."""
-
-    outcome: OnceOutcome
-    # False only if no byte reached a server or a refusal proves it did not run.
-    sent: bool
-    # An AttemptOutcome's value, an ErrorKind's value or ``no_replica``.
-    reason: str
-    hits: tuple[Hit, ...] = ()
-    snapshot: int = 0
-    server: str = ""
-    holder: str = ""
-
-
 class SearchRunner:
     """Run searches from this entry.
 
@@ -98,7 +72,7 @@
         self._current_view = current_view
         self._catalogs = CatalogCache()
         self._shared = create_shared_state(rng)
-        # Unique over all entries and restarts, because holders serve many entries.
+        # Holders serve many entries, and entries restart.
         prefix = f"{own_address}/{rng.getrandbits(64):016x}"
         self._batch_ids = (f"{prefix}/{number}" for number in itertools.count())
 
@@ -107,43 +81,46 @@
         plan = self._plan(view, view, request)
         if isinstance(plan, ErrorKind):
             return SearchAnswer(plan)
-        task = FanOutTask(
+        task = _make_task(view, request, plan)
+        plan_restart = functools.partial(self._plan_restart, view, request, task)
+        first = await self._fan_out(task, plan_restart)
+        answer = self._merge(request, first)
+        if first.next_task is not None:
+            _log_restart(first)
+            second = await self._fan_out(first.next_task, lambda: None)
+            answer = _select_answer(answer, self._merge(request, second))
+        self._count_missing(answer)
+        return answer
+
+    async def run_once(self, view, request):
+        """Return the OnceResult of the single attempt of a request.
+
+        Nothing is retried, hedged or restarted.
+        """
+        plan = self._plan(view, view, request)
+        if isinstance(plan, ErrorKind):
+            return refuse(plan.value)
+        shard = plan.shards[0]
+        now = trio.current_time()
+        # Requests that cannot be repeated are no trials of ejected replicas.
+        replica = self._shared.router.pick(shard.replicas, (), now, trials=False)
+        if replica is None:
+            return refuse(NO_REPLICA)
+        ends_at = request.deadline - ANSWER_ALLOWANCE_S
+        batch = SubqueryBatch(
+            batch_id=next(self._batch_ids),
             request_id=request.request_id,
-            query=request.query,
             config_version=view.config_version,
-            limits=view.document.limits,
-            plan=plan,
-            ends_at=request.deadline - ANSWER_ALLOWANCE_S,
-            start=0,
+            snapshot=plan.snapshot,
+            timeout_ms=(ends_at - HOP_ALLOWANCE_S - now) * 1000,
+            idempotent=False,
+            query=request.query,
+            items=make_items(shard, replica),
         )
-        next_tasks = []
-
-        def may_restart():
-            if not next_tasks:
-                next_tasks.extend(self._plan_restart(view, request, task))
-            return bool(next_tasks)
-
-        result = await self._fan_out(task, may_restart)
-        answer = self._merge(task, request, result)
-        if not result.restart:
-            return answer
-        log_event(
-            Event.REQUEST_RESTARTED,
-            request_id=request.request_id,
-            snapshot=task.plan.snapshot,
-            next_snapshot=next_tasks[0].plan.snapshot,
+        result = await make_single_attempt(
+            self._peers, self._shared, shard, replica, batch, ends_at
         )
-        second = await self._fan_out(next_tasks[0], lambda: False)
-        restarted = self._merge(next_tasks[0], request, second)
-        return _select_answer(answer, restarted)
-
-    async def _fan_out(self, task, may_restart):
-        fan_out = FanOut(task, self._peers, self._shared, self._batch_ids, may_restart)
-        result = await fan_out.run()
-        counts = Counter((record.kind, record.outcome) for record in result.records)
-        for (kind, outcome), count in counts.items():
-            labels = {"kind": kind.value, "outcome": outcome.value}
-            self._metrics.subqueries.add(count, labels)
+        self._count_attempts([result.record])
         return result
 
     def _plan(self, rules, view, request):
@@ -166,78 +143,63 @@
         return _plan_keyed(ranked, request.routing_key) if keyed else ranked[0]
 
     def _plan_restart(self, rules, request, task):
-        """Return the task of the restart, or nothing if there is no newer snapshot."""
+        """Return the FanOutTask of a restart, or None without a newer snapshot.
+
+        The restart keeps the rules of the first start, and takes servers,
+        routes and domain states from the newest view.
+        """
         view = self._current_view()
         plan = self._plan(rules, view, request)
         if isinstance(plan, ErrorKind) or plan.snapshot <= task.plan.snapshot:
-            return []
+            return None
         version = view.config_version
-        return [replace(task, plan=plan, config_version=version, start=1)]
+        return replace(task, plan=plan, config_version=version, start=task.start + 1)
+
+    async def _fan_out(self, task, plan_restart):
+        fan_out = FanOut(task, self._peers, self._shared, self._batch_ids, plan_restart)
+        result = await fan_out.run()
+        self._count_attempts(result.records)
+        return result
 
-    def _merge(self, task, request, result):
+    def _merge(self, request, result):
+        task = result.task
         merged = merge_replies(
             task.plan, result.replies, result.reasons, task.limits.max_answer_bytes
         )
         coverage = merged.coverage
-        outcome = SearchOutcome.PARTIAL
-        if not coverage.missing:
-            outcome = SearchOutcome.COMPLETE
-        elif coverage.ratio < request.minimum_coverage:
+        outcome = SearchOutcome.COMPLETE
+        if coverage.ratio < request.minimum_coverage:
             outcome = ErrorKind.INSUFFICIENT_COVERAGE
+        elif coverage.missing:
+            outcome = SearchOutcome.PARTIAL
         return SearchAnswer(
             outcome, merged.hits, task.plan.snapshot, coverage, result.records
         )
 
-    async def run_once(self, view, request):
-        """Return the OnceResult of the single attempt of a request.
+    def _count_attempts(self, records):
+        # One call per kind and outcome, because each costs several microseconds.
+        counts = Counter((record.kind, record.outcome) for record in records)
+        for (kind, outcome), count in counts.items():
+            labels = {"kind": kind.value, "outcome": outcome.value}
+            self._metrics.subqueries.add(count, labels)
+
+    def _count_missing(self, answer):
+        missing = answer.coverage.missing
+        counts = Counter((entry.index, entry.reason) for entry in missing)
+        for (index, reason), count in counts.items():
+            self._metrics.missing_shards.add(count, {"index": index, "reason": reason})
 
-        Nothing is retried, hedged or restarted here.
-        """
-        plan = self._plan(view, view, request)
-        if isinstance(plan, ErrorKind):
-            return _not_run(plan.value)
-        shard = plan.shards[0]
-        now = trio.current_time()
-        replica = self._shared.router.pick(shard.replicas, (), now)
-        if replica is None:
-            return _not_run(NO_REPLICA)
-        ends_at = request.deadline - ANSWER_ALLOWANCE_S
-        batch = SubqueryBatch(
-            batch_id=next(self._batch_ids),
-            request_id=request.request_id,
-            config_version=view.config_version,
-            snapshot=plan.snapshot,
-            timeout_ms=(ends_at - now - HOP_ALLOWANCE_S) * 1000,
-            idempotent=False,
-            query=request.query,
-            items=(SubqueryItem(1, replica.server, replica.epoch, shard.shard),),
-        )
-        reply, failure, sent = await self._ask_once(replica.address, batch, ends_at)
-        if reply is None:
-            result = _conclude_without_reply(failure, sent)
-        else:
-            result = _conclude_once(reply, shard, plan.snapshot)
-        self._count_once(result)
-        return replace(result, server=replica.server, holder=replica.address)
-
-    async def _ask_once(self, address, batch, ends_at):
-        """Return the reply, or None with what went wrong and whether it was sent."""
-        timeout_s = ends_at - trio.current_time()
-        try:
-            with trio.move_on_at(ends_at):
-                async with self._peers.stream(address, batch, timeout_s) as replies:
-                    async for reply in replies:
-                        if reply.attempt == batch.items[0].attempt:
-                            return reply, None, True
-                return None, AttemptOutcome.NO_REPLY, True
-        except RpcError as exc:
-            outcome = AttemptOutcome.BROKEN if exc.sent else AttemptOutcome.NOT_SENT
-            return None, outcome, exc.sent
-        return None, AttemptOutcome.TIMED_OUT, True
-
-    def _count_once(self, result):
-        labels = {"kind": "once", "outcome": result.reason}
-        self._metrics.subqueries.add(1, labels)
+
+def _make_task(view, request, plan):
+    return FanOutTask(
+        request_id=request.request_id,
+        query=request.query,
+        config_version=view.config_version,
+        limits=view.document.limits,
+        plan=plan,
+        ends_at=request.deadline - ANSWER_ALLOWANCE_S,
+        start=0,
+    )
 
 
 def _plan_keyed(ranked, routing_key):
@@ -254,32 +216,19 @@
 
 
 def _select_answer(first, restarted):
-    """Return the answer with the higher coverage and all attempts explained.
+    """Return the answer with the higher coverage, explained by both starts.
 
-    The first start is whole and honest by itself, so it is better than a
-    restart that found less before the deadline.
+    Each start is whole by itself and from one snapshot. The first one is
+    better if the restart found less before the deadline.
     """
     better = max(restarted, first, key=lambda answer: answer.coverage.ratio)
     return replace(better, explanation=first.explanation + restarted.explanation)
 
 
-def _not_run(reason):
-    return OnceResult(OnceOutcome.NOT_RUN, sent=False, reason=reason)
-
-
-def _conclude_without_reply(failure, sent):
-    outcome = OnceOutcome.UNKNOWN if sent else OnceOutcome.NOT_RUN
-    return OnceResult(outcome, sent=sent, reason=failure.value)
-
-
-def _conclude_once(reply, shard, snapshot):
-    outcome = read_outcome(reply, snapshot)
-    if outcome is not AttemptOutcome.ANSWERED:
-        ran = reply.sent or reply.outcome is SubqueryOutcome.ANSWERED
-        return _conclude_without_reply(outcome, ran)
-    try:
-        hits = decode_hits(reply.results)
-    except msgspec.MsgspecError:
-        return _conclude_without_reply(AttemptOutcome.MALFORMED, True)
-    merged = tuple(Hit(shard.index, hit.id, hit.score, hit.fields) for hit in hits)
-    return OnceResult(OnceOutcome.DONE, True, outcome.value, merged, snapshot)
+def _log_restart(first):
+    log_event(
+        Event.REQUEST_RESTARTED,
+        request_id=first.task.request_id,
+        snapshot=first.task.plan.snapshot,
+        next_snapshot=first.next_task.plan.snapshot,
+    )
--- /dev/null
+++ b/src/wisteriaworks/single_attempt.py
@@ -0,0 +1,120 @@
+"""Make the single attempt of a non-idempotent request."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+import trio
+
+from wisteriaworks.attempts import (
+    Attempt,
+    AttemptKind,
+    AttemptOutcome,
+    AttemptRecord,
+    ShardProgress,
+    make_record,
+    read_outcome,
+)
+from wisteriaworks.errors import RpcError
+from wisteriaworks.feedback import report_attempt, report_load
+from wisteriaworks.generated.subqueries import SubqueryItem, SubqueryOutcome
+from wisteriaworks.merge import Hit, decode_hits
+
+ATTEMPT_NUMBER = 1
+
+
+class OnceOutcome(Enum):
+    """Say what is known of the single attempt of a request."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class OnceResult:
+    """Hold the result of the single attempt of a non-idempotent request."""
+
+    outcome: OnceOutcome
+    # False only if no byte reached a server or a refusal proves it did not run.
+    sent: bool
+    # Value of an AttemptOutcome or ErrorKind, or NO_REPLICA.
+    reason: str
+    hits: tuple[Hit, ...] = ()
+    # 0 unless the request was done.
+    snapshot: int = 0
+    # None if no attempt was made.
+    record: AttemptRecord | None = None
+
+
+def make_items(shard, replica):
+    """Return the only item of the batch."""
+    return (SubqueryItem(ATTEMPT_NUMBER, replica.server, replica.epoch, shard.shard),)
+
+
+def refuse(reason):
+    """Return the result of a request of which nothing was sent."""
+    return OnceResult(OnceOutcome.NOT_RUN, sent=False, reason=reason)
+
+
+async def make_single_attempt(peers, shared, shard, replica, batch, ends_at):
+    """Send a batch of one item once, and return the OnceResult."""
+    now = trio.current_time()
+    progress = ShardProgress(shard)
+    attempt = Attempt(ATTEMPT_NUMBER, AttemptKind.ONCE, progress, replica, now)
+    reply, outcome, sent = await _ask(peers, replica.address, batch, ends_at)
+    now = trio.current_time()
+    hits = ()
+    if outcome is AttemptOutcome.ANSWERED:
+        outcome, hits = _read_hits(shard, reply)
+    if reply is not None:
+        report_load(shared.router, replica, outcome, reply.load, now)
+    attempt.outcome = outcome
+    attempt.time_s = now - attempt.started_at
+    report_attempt(shared, attempt, now)
+    done = outcome is AttemptOutcome.ANSWERED
+    return OnceResult(
+        _conclude(done, sent),
+        sent,
+        outcome.value,
+        hits,
+        batch.snapshot if done else 0,
+        make_record(0, attempt),
+    )
+
+
+def _conclude(done, sent):
+    if done:
+        return OnceOutcome.DONE
+    return OnceOutcome.UNKNOWN if sent else OnceOutcome.NOT_RUN
+
+
+async def _ask(peers, address, batch, ends_at):
+    """Return the reply or None, the outcome, and whether it may have been sent."""
+    timeout_s = ends_at - trio.current_time()
+    try:
+        with trio.move_on_at(ends_at):
+            async with peers.stream(address, batch, timeout_s) as replies:
+                async for reply in replies:
+                    if reply.attempt == ATTEMPT_NUMBER:
+                        return _read_reply(reply, batch.snapshot)
+            return None, AttemptOutcome.NO_REPLY, True
+    except RpcError as exc:
+        outcome = AttemptOutcome.BROKEN if exc.sent else AttemptOutcome.NOT_SENT
+        return None, outcome, exc.sent
+    return None, AttemptOutcome.TIMED_OUT, True
+
+
+def _read_reply(reply, snapshot):
+    # An answer proves that the request ran, whatever the flag says.
+    sent = reply.sent or reply.outcome is SubqueryOutcome.ANSWERED
+    return reply, read_outcome(reply, snapshot), sent
+
+
+def _read_hits(shard, reply):
+    try:
+        hits = decode_hits(reply.results)
+    except msgspec.MsgspecError:
+        return AttemptOutcome.MALFORMED, ()
+    answer = tuple(Hit(shard.index, hit.id, hit.score, hit.fields) for hit in hits)
+    return AttemptOutcome.ANSWERED, answer
--- a/tests/search_fakes.py
+++ b/tests/search_fakes.py
@@ -11,7 +11,6 @@
 
 from wisteriaworks.errors import RpcError
 from wisteriaworks.generated.document import (
-    Caller,
     Document,
     Domain,
     Index,
@@ -51,9 +50,6 @@
             "keyed": Search(indexes=indexes[:1], routing=Routing.KEYED),
         },
         indexes={index: Index(servers=some) for index, some in servers.items()},
-        callers={
-            "app": Caller(credential_sha256="0" * 64, searches=("all",), timeout_ms=9)
-        },
         domains={domain: Domain() for domain in DOMAINS},
     )
     numbers = itertools.count()
@@ -106,6 +102,7 @@
     """Record one sub-query that reached a fake holder."""
 
     batch_id: str
+    attempt: int
     holder: str
     server: str
     shard: str
@@ -134,7 +131,7 @@
         events = [e for item in batch.items for e in self._act(address, batch, item)]
         self.open += 1
         try:
-            yield self._replay(events, deadline)
+            yield self._replay(batch.batch_id, events, deadline)
         finally:
             self.open -= 1
 
@@ -148,6 +145,17 @@
             for asked in self.asked
         )
 
+    def list_answered(self, snapshot):
+        """Return (server, shard) of all answers delivered from a snapshot."""
+        asked = {(a.batch_id, a.attempt): a for a in self.asked}
+        pairs = ((asked[batch, r.attempt], r) for batch, r in self.answers)
+        return {
+            (a.server, a.shard)
+            for a, reply in pairs
+            if reply.outcome is SubqueryOutcome.ANSWERED
+            and a.snapshot == reply.snapshot == snapshot
+        }
+
     def _act(self, address, batch, item):
         before = self.count(server=item.server, shard=item.shard)
         act = self.script(item, batch, before)
@@ -155,6 +163,7 @@
         self.asked.append(
             Asked(
                 batch.batch_id,
+                item.attempt,
                 address,
                 item.server,
                 item.shard,
@@ -182,14 +191,14 @@
         )
         return [(at, reply)] * act.copies
 
-    async def _replay(self, events, deadline):
+    async def _replay(self, batch_id, events, deadline):
         for at, event in sorted(events, key=lambda pair: pair[0]):
             if at >= deadline:
                 break
             await trio.sleep_until(at)
             if isinstance(event, RpcError):
                 raise event
-            self.answers.append(event)
+            self.answers.append((batch_id, event))
             yield event
         if any(at >= deadline for at, _ in events) or not events:
             await trio.sleep_until(deadline)
@@ -220,3 +229,32 @@
         deadline=trio.current_time() + timeout_s,
         minimum_coverage=coverage,
     )
+
+
+async def run_search(script, view=None, runner=None, **request):
+    """Run one search against a new fake, and check the answer against its record."""
+    view = view or make_view()
+    peers = FakePeers(script)
+    runner = runner or make_runner(peers, view)
+    answer = await runner.run(view, make_request(**request))
+    check_answer(peers, answer)
+    return peers, answer
+
+
+def check_answer(peers, answer):
+    """Compare an answer with what the fake holders delivered."""
+    coverage = answer.coverage
+    delivered = peers.list_answered(answer.snapshot)
+    fields = [msgspec.json.decode(hit.fields) for hit in answer.hits]
+    assert {entry["snapshot"] for entry in fields} <= {answer.snapshot}
+    shards = [hit.id for hit in answer.hits]
+    assert len(set(shards)) == len(shards) == coverage.answered
+    missing = {entry.shard for entry in coverage.missing}
+    assert len(missing) == len(coverage.missing)
+    assert not missing & set(shards)
+    assert coverage.total == coverage.answered + len(missing)
+    assert missing.isdisjoint(shard for _, shard in delivered)
+    pairs = zip(fields, shards, strict=True)
+    assert {(entry["server"], shard) for entry, shard in pairs} <= delivered
+    assert peers.open == 0
+    assert len(answer.explanation) == len(peers.asked)
