--- a/src/wisteriaworks/routing.py
+++ b/src/wisteriaworks/routing.py
@@ -6,6 +6,9 @@
 
 # A report of a server's load says little after a few service times.
 LOAD_HALF_LIFE_S = 0.1
+# Aged remains of a load below this count as none; otherwise an idle replica
+# would never again be preferred to one that reports 0.
+SMALLEST_LOAD = 0.25
 # One bad reply may be chance; with 1% stragglers, three in a row are not.
 BAD_REPLIES = 3
 # A replica counts as slow from this multiple of the index's p95.
@@ -112,7 +115,8 @@
         condition = self._conditions.get(replica.server)
         if condition is None:
             return 0.0
-        return _age_load(condition, now) / replica.slots
+        load = _age_load(condition, now)
+        return load / replica.slots if load >= SMALLEST_LOAD else 0.0
 
     def _count_start(self, replica, now):
         """Count a request before the next report includes it."""
--- /dev/null
+++ b/tests/test_single_attempt.py
@@ -0,0 +1,81 @@
+"""Guard against a second attempt, and against an untrue "not run"."""
+
+import pytest
+import search_fakes as fakes
+import trio
+from search_fakes import Act
+
+from wisteriaworks.generated.subqueries import SubqueryOutcome as Outcome
+from wisteriaworks.search import ANSWER_ALLOWANCE_S
+from wisteriaworks.single_attempt import OnceOutcome
+
+DONE, NOT_RUN, UNKNOWN = OnceOutcome.DONE, OnceOutcome.NOT_RUN, OnceOutcome.UNKNOWN
+
+
+async def _run_once(script, view=None, **fields):
+    view = view or fakes.make_view()
+    peers = fakes.FakePeers(script)
+    runner = fakes.make_runner(peers, fakes.make_view(snapshots=(1, 2)))
+    request = fakes.make_request(**{"search": "keyed", "key": "CB1234AB", **fields})
+    return peers, await runner.run_once(view, request)
+
+
+@pytest.mark.parametrize(
+    ("act", "outcome", "reason"),
+    [
+        (Act(), DONE, "answered"),
+        (Act(copies=3), DONE, "answered"),
+        (Act(sent=False), DONE, "answered"),
+        (Act(Outcome.SHED, sent=False), NOT_RUN, "shed"),
+        (Act(Outcome.SNAPSHOT_GONE, sent=False), NOT_RUN, "snapshot_gone"),
+        (Act(Outcome.TIMED_OUT, sent=False), NOT_RUN, "timed_out"),
+        (Act(Outcome.FAILED, sent=False), NOT_RUN, "not_sent"),
+        (Act(Outcome.SHED, sent=True), UNKNOWN, "shed"),
+        (Act(Outcome.SNAPSHOT_GONE, sent=True), UNKNOWN, "snapshot_gone"),
+        (Act(Outcome.FAILED), UNKNOWN, "failed"),
+        (Act(Outcome.TIMED_OUT), UNKNOWN, "timed_out"),
+        (Act(breaks=True, sent=False), NOT_RUN, "not_sent"),
+        (Act(breaks=True, sent=True), UNKNOWN, "broken"),
+        (Act(results=b"[{"), UNKNOWN, "malformed"),
+        (Act(snapshot=7), UNKNOWN, "other_snapshot"),
+        (Act(snapshot=7, sent=False), UNKNOWN, "other_snapshot"),
+        (Act(delay_s=9), UNKNOWN, "timed_out"),
+        (None, UNKNOWN, "timed_out"),
+    ],
+)
+async def test_one_attempt_and_its_true_outcome(autojump_clock, act, outcome, reason):
+    peers, result = await _run_once(lambda item, batch, count: act)
+    assert (result.outcome, result.reason) == (outcome, reason)
+    assert result.sent == (outcome is not NOT_RUN)
+    assert bool(result.hits) == (outcome is DONE)
+    assert [(asked.idempotent, asked.snapshot) for asked in peers.asked] == [(False, 1)]
+    assert result.record.server == peers.asked[0].server
+    assert trio.current_time() <= 0.2 - ANSWER_ALLOWANCE_S + 1e-9
+
+
+@pytest.mark.parametrize(
+    ("fields", "reason"),
+    [
+        ({"timeout_s": 0.004}, "deadline_passed"),
+        ({"search": "none"}, "unknown_search"),
+        ({"key": None}, "malformed_request"),
+        ({"view": fakes.make_view(snapshots=())}, "no_snapshot"),
+    ],
+)
+async def test_refused_before_anything_is_sent(autojump_clock, fields, reason):
+    peers, result = await _run_once(None, **fields)
+    assert (result.outcome, result.reason, result.sent) == (NOT_RUN, reason, False)
+    assert not peers.asked
+
+
+async def test_reply_to_another_attempt_is_ignored(autojump_clock):
+    class Confused(fakes.FakePeers):
+        async def _replay(self, batch_id, events, deadline):
+            async for reply in super()._replay(batch_id, events, deadline):
+                yield fakes.msgspec.structs.replace(reply, attempt=2)
+
+    view = fakes.make_view()
+    runner = fakes.make_runner(Confused(lambda item, batch, count: Act()), view)
+    request = fakes.make_request(search="keyed", key="a")
+    result = await runner.run_once(view, request)
+    assert (result.outcome, result.reason) == (UNKNOWN, "no_reply")
