--- /dev/null
+++ b/tests/test_latency.py
@@ -0,0 +1,62 @@
+"""Guard against hedges that come too early, too late, or after old times."""
+
+import random
+
+import pytest
+
+from wisteriaworks.latency import (
+    FLOOR_S,
+    MINIMUM_COUNT,
+    START_S,
+    WINDOW_S,
+    LatencyTable,
+    QuantileEstimate,
+)
+
+
+@pytest.mark.parametrize("median_s", [0.005, 0.05, 5.0])
+def test_estimate_is_close_to_the_p95(median_s):
+    rng = random.Random(1)
+    times = [median_s * rng.lognormvariate(0, 0.5) for _ in range(2000)]
+    estimate = QuantileEstimate(0.95)
+    for number, time_s in enumerate(times):
+        estimate.observe(time_s, number * 0.001)
+    assert estimate.read(2.0) == pytest.approx(sorted(times)[1900], rel=0.08)
+
+
+@pytest.mark.parametrize(
+    ("count", "time_s", "expected"),
+    [
+        (0, 1.0, START_S),
+        (MINIMUM_COUNT - 1, 1.0, START_S),
+        (MINIMUM_COUNT, 1.0, 1.0),
+        (99, 0.00001, FLOOR_S),
+        (99, 1e9, 228.0),
+    ],
+)
+def test_start_value_floor_and_extremes(count, time_s, expected):
+    estimate = QuantileEstimate(0.95)
+    for _ in range(count):
+        estimate.observe(time_s, 0.0)
+    assert estimate.read(0.0) == pytest.approx(expected, rel=0.06)
+
+
+@pytest.mark.parametrize("forget", [False, True])
+def test_old_times_leave_the_window(forget):
+    estimate = QuantileEstimate(0.95, forget=forget)
+    for _ in range(100):
+        estimate.observe(1.0, 0.0)
+    for number in range(100):
+        estimate.observe(0.01, WINDOW_S * (1 + number / 60))
+    assert estimate.read(2.7 * WINDOW_S) == pytest.approx(0.01, rel=0.06)
+    # Without recent times the last value stays, unless it is to be forgotten.
+    later = estimate.read(99 * WINDOW_S)
+    assert later == pytest.approx(START_S if forget else 0.01, rel=0.06)
+
+
+def test_indexes_do_not_share_an_estimate():
+    table = LatencyTable()
+    for _ in range(100):
+        table.observe("slow", 1.0, 0.0)
+    assert table.read_p95("slow", 0.0) > 0.9
+    assert table.read_p95("fast", 0.0) == START_S
