Add the example installations and the settings page

Cause: a first installation needs documents that pass the checks, and a list of settings that cannot fall behind the schema.

Control does not keep operation ids of member changes, so a change that is sent again after a lost answer is refused. wisteria member now looks at the member list before it reports such a refusal. Exit codes 6 and 7 are taken by the storage errors of wisteria-control, so the commands use 8 to 10.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,8 @@
 
 generate: .venv/installed
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/examples.py
+	$(BIN)/python tools/settings_page.py
 
 bench: .venv/installed
 	for transport in http frames frames-batched grpc-unary grpc-stream; do \
--- a/src/wisteriaworks/cli_common.py
+++ b/src/wisteriaworks/cli_common.py
@@ -133,18 +133,24 @@
     the result with the operation id, so that sending again is safe. Raises
     ControlError with ``resend``, which says how to run the command again.
     """
+    may_be_accepted = False
     for attempt in range(1, SEND_ATTEMPTS + 1):
         try:
             return await client.call(message, CALL_TIMEOUT_S)
         except ControlError as exc:
+            may_be_accepted |= getattr(exc, "sent", True)
             if attempt == SEND_ATTEMPTS:
-                raise ControlError(
-                    f"{exc.message}; the change may have been accepted, "
-                    f"run the command again{resend}"
-                ) from exc
+                raise _explain_loss(exc, may_be_accepted, resend) from exc
         await trio.sleep(RESEND_DELAY_S)
 
 
+def _explain_loss(exc, may_be_accepted, resend):
+    state = "may have been accepted" if may_be_accepted else "was not sent"
+    return ControlError(
+        f"{exc.message}; the change {state}, run the command again{resend}"
+    )
+
+
 def render_rows(header, rows):
     """Return a table as text with aligned columns."""
     table = [tuple(header), *(tuple(map(str, row)) for row in rows)]
--- a/src/wisteriaworks/cli_member.py
+++ b/src/wisteriaworks/cli_member.py
@@ -3,6 +3,7 @@
 from cleo.helpers import argument
 
 from wisteriaworks.cli_common import (
+    CALL_TIMEOUT_S,
     CONTROL_OPTION,
     OPERATION_OPTION,
     ControlCommand,
@@ -11,7 +12,7 @@
 )
 from wisteriaworks.document_checks import is_valid_address
 from wisteriaworks.errors import RefusedError, SettingsError
-from wisteriaworks.generated.messages import ChangeMembers, MemberAction
+from wisteriaworks.generated.messages import ChangeMembers, MemberAction, ReadStatus
 
 _ID = argument("id", description="Id of the member, NAME/DISK_IDENTITY.")
 _ADDRESS = argument("address", description="Address of the member, IP:PORT.")
@@ -31,24 +32,39 @@
 
         async def change(client):
             resend = f" with --operation-id {operation_id}"
-            return await send_change(client, message, resend)
+            reply = await send_change(client, message, resend)
+            if not reply.accepted:
+                await self._check_refusal(client, message, reply.problem)
 
         self.write_text(f"operation id {operation_id}")
-        reply = self.run_with_control(change)
-        if not reply.accepted:
-            raise RefusedError(f"control refused the change: {reply.problem}")
+        self.run_with_control(change)
         self.write_text(f"{member} {self.done}")
 
+    async def _check_refusal(self, client, message, problem):
+        """Raise RefusedError unless the members already are as asked.
+
+        A change that is sent again after a lost answer is refused because the
+        first try has taken effect.
+        """
+        status = await client.call(ReadStatus(), CALL_TIMEOUT_S)
+        member = next((m for m in status.members if m.id == message.id), None)
+        if not self._is_done(member, message):
+            raise RefusedError(f"control refused the change: {problem}")
+
     def _find_address(self):
         return ""
 
+    def _is_done(self, member, message):
+        """Say whether a listed member, or none, is as the message asks."""
+        raise NotImplementedError
+
 
 class MemberAddCommand(_MemberCommand):
     name = "member add"
     description = "Add a control member that receives the log without a vote."
     arguments = (_ID, _ADDRESS)
     action = MemberAction.ADD_LEARNER
-    done = "added, without a vote"
+    done = "is a member"
 
     def _find_address(self):
         address = self.argument("address")
@@ -56,19 +72,28 @@
             raise SettingsError(f"address: expected IP:PORT, got {address!r}")
         return address
 
+    def _is_done(self, member, message):
+        return member is not None and member.address == message.address
+
 
 class MemberPromoteCommand(_MemberCommand):
     name = "member promote"
     description = "Give a vote to a control member that has caught up."
     action = MemberAction.PROMOTE
-    done = "promoted, it votes now"
+    done = "has a vote"
+
+    def _is_done(self, member, message):
+        return member is not None and member.voter
 
 
 class MemberRemoveCommand(_MemberCommand):
     name = "member remove"
     description = "Remove a control member."
     action = MemberAction.REMOVE
-    done = "removed"
+    done = "is not a member"
+
+    def _is_done(self, member, message):
+        return member is None
 
 
 COMMANDS = (MemberAddCommand, MemberPromoteCommand, MemberRemoveCommand)
--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -122,24 +122,6 @@
     exit_code = 5
 
 
-class LagError(WisteriaError):
-    """Report entries that have not adopted a configuration in time."""
-
-    exit_code = 6
-
-
-class RefusedError(WisteriaError):
-    """Report a change that control refused."""
-
-    exit_code = 7
-
-
-class EntryError(WisteriaError):
-    """Report that an entry's admin address gave no usable answer."""
-
-    exit_code = 8
-
-
 class RequestError(WisteriaError):
     """Carry the error kind of one refused request."""
 
@@ -158,3 +140,21 @@
     def __init__(self, message, sent):
         super().__init__(message)
         self.sent = sent
+
+
+class LagError(WisteriaError):
+    """Report entries that have not adopted a configuration in time."""
+
+    exit_code = 8
+
+
+class RefusedError(WisteriaError):
+    """Report a change that control refused."""
+
+    exit_code = 9
+
+
+class EntryError(WisteriaError):
+    """Report that an entry's admin address gave no usable answer."""
+
+    exit_code = 10
