--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -134,31 +134,31 @@
 class LagError(WisteriaError):
     """Report entries that have not adopted a configuration in time."""
 
-    exit_code = 6
+    exit_code = 8
 
 
 class RefusedError(WisteriaError):
     """Report a change that control refused."""
 
-    exit_code = 7
+    exit_code = 9
 
 
 class EntryError(WisteriaError):
     """Report that an entry's admin address gave no usable answer."""
 
-    exit_code = 8
+    exit_code = 10
 
 
 class StorageError(WisteriaError):
     """Report a data folder that is damaged or that cannot be used."""
 
-    exit_code = 9
+    exit_code = 6
 
 
 class InvariantError(WisteriaError):
     """Report a broken invariant; the process must stop."""
 
-    exit_code = 10
+    exit_code = 7
 
 
 class NotLeaderError(WisteriaError):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -341,4 +341,4 @@
     path = tmp_path / "c1.yaml"
     path.write_bytes(msgspec.yaml.encode(cfg))
     tester = ApplicationTester(control.make_application())
-    assert [tester.execute(f"init {path}") for _ in range(2)] == [0, 9]
+    assert [tester.execute(f"init {path}") for _ in range(2)] == [0, 6]
