--- a/src/wisteriaworks/api.py
+++ b/src/wisteriaworks/api.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from wisteriaworks.admission import Refusal
 from wisteriaworks.answers import create_answer, create_error
 from wisteriaworks.asgi import JSON, read_body, run_lifespan, send_response
 from wisteriaworks.errors import ErrorKind, RequestError
@@ -178,10 +179,7 @@
             error = self._find_refusal(request)
             if error is not None:
                 raise error
-            with self._admission.admit(view, target.caller.priority, request):
-                if target.search.idempotent:
-                    return await self._run_search(view, request)
-                return await self._claims.run(view, request, _compute_digest(request))
+            return await self._run_admitted(view, target, request)
         except RequestError as exc:
             if target.search.idempotent or exc.kind not in _REFUSALS:
                 raise
@@ -189,6 +187,31 @@
             # said, because the same request may be running elsewhere.
             return await self._claims.refuse(request, _compute_digest(request), exc)
 
+    async def _run_admitted(self, view, target, request):
+        now = trio.current_time()
+        ticket = self._admission.admit(
+            request.search,
+            target.caller.priority,
+            request.deadline - now,
+            view.document.limits.max_running,
+            now,
+        )
+        if isinstance(ticket, Refusal):
+            raise RequestError(
+                ErrorKind.OVERLOADED, f"the entry is overloaded: {ticket.value}"
+            )
+        complete = False
+        try:
+            if target.search.idempotent:
+                answer = await self._run_search(view, request)
+            else:
+                digest = _compute_digest(request)
+                answer = await self._claims.run(view, request, digest)
+            complete = answer.complete
+            return answer
+        finally:
+            self._admission.finish(ticket, complete, trio.current_time())
+
     async def _run_search(self, view, request):
         started = trio.current_time()
         result = await self._searches.run(view, request)
--- a/src/wisteriaworks/claims.py
+++ b/src/wisteriaworks/claims.py
@@ -22,7 +22,7 @@
     ReadClaim,
     Resolve,
 )
-from wisteriaworks.search import OnceOutcome
+from wisteriaworks.single_attempt import OnceOutcome
 
 CALL_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.1
@@ -104,7 +104,7 @@
             reply = await self._call(self._create_claim(key, digest, refuse=True))
         except ControlError as exc:
             raise _not_recorded(exc) from exc
-        if reply.result is ClaimResult.GRANTED:
+        if reply.record is not None and reply.record.state is ClaimState.NOT_RUN:
             raise error
         return await self._follow(key, request, reply)
 
