Add the local system, the open-loop load generator and the experiment tool

Cause: the measures of tail latency, coverage and extra load need one command. Arrivals are scheduled ahead, so that a slow answer does not slow them down.

--- /dev/null
+++ b/src/wisteriaworks/arrivals.py
@@ -0,0 +1,181 @@
+"""Generate open-loop arrivals and record what became of each request."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+import httpcore
+import msgspec
+import trio
+
+from wisteriaworks.local_system import create_id
+
+# A caller waits a little longer than its deadline before it gives up.
+PATIENCE_S = 1.0
+
+
+class Fate(Enum):
+    """Say what became of one request."""
+
+    COMPLETE = "complete"
+    PARTIAL = "partial"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Hold one finished request."""
+
+    # Scheduled arrival, in seconds since the start of the load.
+    at_s: float
+    search: str
+    request_id: str
+    entry: str
+    fate: Fate
+    # From the scheduled arrival, so that a late send counts against the system.
+    latency_ms: float
+    coverage: float
+
+
+class _Coverage(msgspec.Struct, frozen=True):
+    total: int = 0
+    answered: int = 0
+
+
+class _Reply(msgspec.Struct, frozen=True):
+    outcome: str
+    run_state: str = ""
+    coverage: _Coverage | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Reply)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold one scheduled request."""
+
+    at_s: float
+    search: str
+    keyed: bool
+    number: int
+
+
+def schedule_arrivals(streams, keyed, length_s, rate_factor, seed):
+    """Return the arrivals of all streams, ordered by time.
+
+    ``keyed`` holds the names of keyed searches.
+    """
+    arrivals = []
+    for stream in streams:
+        rng = random.Random(f"{seed}/{stream.search}")
+        at_s = rng.expovariate(stream.rate * rate_factor)
+        while at_s < length_s:
+            number = rng.getrandbits(32)
+            is_keyed = stream.search in keyed
+            arrivals.append(Arrival(at_s, stream.search, is_keyed, number))
+            at_s += rng.expovariate(stream.rate * rate_factor)
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+class Caller:
+    """Send requests to entries that are ready, as a load balancer would."""
+
+    def __init__(self, entries, credentials, timeout_ms, balancer):
+        self._apis = {cfg.name: cfg.api for cfg in entries}
+        self._credentials = credentials
+        self._timeout_s = timeout_ms / 1000 + PATIENCE_S
+        self._balancer = balancer
+        self._pools = {}
+        self.samples = []
+
+    async def run(self, arrivals):
+        """Send all arrivals at their times and wait for the answers."""
+        async with trio.open_nursery() as nursery:
+            started = trio.current_time()
+            for arrival in arrivals:
+                await trio.sleep_until(started + arrival.at_s)
+                nursery.start_soon(self._send, arrival, started)
+        for pool in self._pools.values():
+            await pool.aclose()
+
+    async def _send(self, arrival, started):
+        entry = self._balancer.pick()
+        request_id = create_id()
+        fate, coverage = Fate.LOST, 0.0
+        with trio.move_on_after(self._timeout_s):
+            fate, coverage = await self._exchange(entry, arrival, request_id)
+        latency_s = trio.current_time() - started - arrival.at_s
+        self.samples.append(
+            Sample(
+                arrival.at_s,
+                arrival.search,
+                request_id,
+                entry,
+                fate,
+                1000 * latency_s,
+                coverage,
+            )
+        )
+
+    async def _exchange(self, entry, arrival, request_id):
+        body = {"request_id": request_id, "query": {"number": arrival.number}}
+        if arrival.keyed:
+            body["routing_key"] = str(arrival.number)
+        credential = self._credentials[arrival.search]
+        try:
+            response = await self._get_pool(entry).request(
+                "POST",
+                f"http://{self._apis[entry]}/v1/searches/{arrival.search}",
+                headers=[(b"authorization", f"Bearer {credential}".encode())],
+                content=msgspec.json.encode(body),
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return Fate.LOST, 0.0
+        return _classify(response.status, _DECODER.decode(response.content))
+
+    def _get_pool(self, entry):
+        if entry not in self._pools:
+            self._pools[entry] = httpcore.AsyncConnectionPool(max_connections=1000)
+        return self._pools[entry]
+
+
+def _classify(status, reply):
+    coverage = reply.coverage
+    share = coverage.answered / coverage.total if coverage and coverage.total else 0.0
+    if status == 200:
+        fate = Fate.COMPLETE if reply.outcome == "complete" else Fate.PARTIAL
+        return fate, share
+    return (Fate.REFUSED if reply.run_state == "not_run" else Fate.FAILED), share
+
+
+class Balancer:
+    """Choose entries in turn among those that were ready at the last look."""
+
+    def __init__(self, system, interval_s):
+        self._system = system
+        self._interval_s = interval_s
+        self._ready = [cfg.name for cfg in system.entry_settings]
+        self._turn = 0
+
+    async def run(self):
+        """Look at the entries' readiness until cancelled."""
+        while True:
+            ready = []
+            async with trio.open_nursery() as nursery:
+                for cfg in self._system.entry_settings:
+                    nursery.start_soon(self._look, cfg.name, ready)
+            self._ready = sorted(ready) or self._ready
+            await trio.sleep(self._interval_s)
+
+    async def _look(self, name, ready):
+        with trio.move_on_after(1.0):
+            if await self._system.entries[name].is_ready("/ready"):
+                ready.append(name)
+
+    def pick(self):
+        """Return the name of the entry for the next request."""
+        self._turn += 1
+        return self._ready[self._turn % len(self._ready)]
--- a/src/wisteriaworks/cli.py
+++ b/src/wisteriaworks/cli.py
@@ -78,3 +78,7 @@
     line = " ".join(exc.message.split())
     print(f"wisteria: {line}", file=sys.stderr)
     return exc.exit_code
+
+
+if __name__ == "__main__":
+    main()
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -187,3 +187,7 @@
 def main():
     """Run the command line of wisteria-control."""
     make_application().run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wisteriaworks/experiment.py
@@ -0,0 +1,242 @@
+"""Run experiments: variants interleaved, load open loop, faults at times."""
+
+import subprocess
+import tempfile
+from collections import Counter
+
+import msgspec
+import trio
+
+from wisteriaworks.arrivals import Balancer, Caller, Fate, schedule_arrivals
+from wisteriaworks.generated.document import DomainState
+from wisteriaworks.generated.experiment import (
+    Action,
+    RunResult,
+    Window,
+    WindowResult,
+)
+from wisteriaworks.local_layout import IndexLayout, Layout, credential_of
+from wisteriaworks.local_system import LocalSystem
+from wisteriaworks.quantiles import LatencyHistogram
+
+BALANCER_INTERVAL_S = 0.2
+# Time after which a drained domain must receive no new work.
+DRAIN_TARGET_S = 3.0
+# Length of a UUID as text, with which a counter's key begins.
+_ID_LENGTH = 36
+
+
+def create_layout(experiment, variant):
+    """Return the layout of the local system for one variant."""
+    deployment = experiment.deployment
+    profile = deployment.profile
+    if variant.straggler_probability is not None:
+        service = msgspec.structs.replace(
+            profile.service, straggler_probability=variant.straggler_probability
+        )
+        profile = msgspec.structs.replace(profile, service=service)
+    return Layout(
+        domains=deployment.domains,
+        indexes=tuple(
+            IndexLayout(**msgspec.structs.asdict(index)) for index in deployment.indexes
+        ),
+        entries=deployment.entries,
+        controls=deployment.controls,
+        emulators=deployment.emulators,
+        profile=profile,
+        limits=variant.limits,
+        timeout_ms=deployment.timeout_ms,
+        seed=experiment.seed,
+        priorities={stream.search: stream.priority for stream in experiment.streams},
+    )
+
+
+class ExperimentRun:
+    """Run one variant once."""
+
+    def __init__(self, experiment, variant, number, folder):
+        self._experiment = experiment
+        self._variant = variant
+        self._number = number
+        self._seed = experiment.seed + number
+        self._system = LocalSystem(create_layout(experiment, variant), folder)
+        self._after_domain_out = 0
+
+    async def run(self):
+        """Return the RunResult."""
+        async with self._system as system:
+            await system.start()
+            balancer = Balancer(system, BALANCER_INTERVAL_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(balancer.run)
+                samples, counters = await self._load(balancer)
+                nursery.cancel_scope.cancel()
+            await system.stop()
+        return self._summarise(samples, counters)
+
+    async def _load(self, balancer):
+        system, experiment = self._system, self._experiment
+        keyed = {i.name for i in experiment.deployment.indexes if i.keyed}
+        length_s = experiment.warm_up_s + experiment.duration_s
+        arrivals = schedule_arrivals(
+            experiment.streams, keyed, length_s, self._variant.rate_factor, self._seed
+        )
+        credentials = {s.search: credential_of(s.search) for s in experiment.streams}
+        timeout_ms = experiment.deployment.timeout_ms
+        caller = Caller(system.entry_settings, credentials, timeout_ms, balancer)
+        before = await system.read_counters()
+        async with trio.open_nursery() as nursery:
+            for step in experiment.steps:
+                nursery.start_soon(self._take_step, step)
+            await caller.run(arrivals)
+        after = await system.read_counters()
+        return caller.samples, _subtract_counters(after, before)
+
+    async def _take_step(self, step):
+        system = self._system
+        await trio.sleep(step.at_s)
+        match step.action:
+            case Action.DRAIN_DOMAIN:
+                await self._drain_domain(step.target)
+            case Action.RETURN_DOMAIN:
+                await system.fault("cold", servers=self._list_servers(step.target))
+                await system.set_domain(step.target, DomainState.IN_SERVICE)
+            case Action.KILL_ENTRY:
+                await system.entries[step.target].kill()
+            case Action.STOP_ENTRY:
+                await system.entries[step.target].stop()
+            case Action.START_ENTRY:
+                names = {cfg.name: cfg for cfg in system.entry_settings}
+                await system.start_entry(names[step.target])
+            case Action.FREEZE_CONTROL | Action.THAW_CONTROL:
+                system.pause_control(step.target, step.action is Action.FREEZE_CONTROL)
+            case Action.FAULT:
+                await system.fault(**step.fault)
+
+    async def _drain_domain(self, name):
+        """Take a domain out and count what its servers receive too late."""
+        servers = self._list_servers(name)
+        await self._system.set_domain(name, DomainState.OUT)
+        await trio.sleep(DRAIN_TARGET_S)
+        first = await self._count_received(servers)
+        returned = (
+            step.at_s
+            for step in self._experiment.steps
+            if step.action is Action.RETURN_DOMAIN and step.target == name
+        )
+        drained = next(
+            step.at_s
+            for step in self._experiment.steps
+            if step.action is Action.DRAIN_DOMAIN and step.target == name
+        )
+        left_s = next(returned, drained + 2 * DRAIN_TARGET_S) - drained
+        await trio.sleep(max(0.0, left_s - DRAIN_TARGET_S - 0.5))
+        self._after_domain_out += await self._count_received(servers) - first
+
+    def _list_servers(self, domain):
+        return [
+            server.name
+            for index in self._system.document.indexes.values()
+            for server in index.servers
+            if server.domain == domain
+        ]
+
+    async def _count_received(self, servers):
+        counters = await self._system.read_counters()
+        return sum(counters[name]["received"] for name in servers)
+
+    def _summarise(self, samples, counters):
+        experiment = self._experiment
+        end_s = experiment.warm_up_s + experiment.duration_s
+        windows = experiment.windows or (
+            Window(name="all", from_s=experiment.warm_up_s, to_s=end_s),
+        )
+        expected = self._count_expected(samples)
+        received = sum(server["received"] for server in counters.values())
+        return RunResult(
+            experiment=experiment.name,
+            variant=self._variant.name,
+            round=self._number,
+            seed=self._seed,
+            commit=read_commit(),
+            windows=tuple(summarise_window(samples, window) for window in windows),
+            subqueries=received,
+            extra_load=received / expected - 1 if expected else 0.0,
+            violations=sum(server["violations"] for server in counters.values()),
+            ran_twice=self._count_ran_twice(samples, counters),
+            after_domain_out=self._after_domain_out,
+        )
+
+    def _count_ran_twice(self, samples, counters):
+        """Count the non-idempotent requests that ran more than once."""
+        keyed = {i.name for i in self._experiment.deployment.indexes if i.keyed}
+        ids = {s.request_id for s in samples if s.search in keyed}
+        runs = Counter()
+        for server in counters.values():
+            for key, count in server["executions"].items():
+                runs[key[:_ID_LENGTH]] += count
+        return sum(runs[request_id] > 1 for request_id in ids)
+
+    def _count_expected(self, samples):
+        shards = {
+            index.name: 1 if index.keyed else index.replica_sets
+            for index in self._experiment.deployment.indexes
+        }
+        ran = (s for s in samples if s.fate not in (Fate.REFUSED, Fate.LOST))
+        return sum(shards[sample.search] for sample in ran)
+
+
+def summarise_window(samples, window):
+    """Return the WindowResult of the samples that arrived in a window."""
+    inside = [s for s in samples if window.from_s <= s.at_s < window.to_s]
+    counts = {fate: sum(s.fate is fate for s in inside) for fate in Fate}
+    answered = [s for s in inside if s.fate in (Fate.COMPLETE, Fate.PARTIAL)]
+    latency = LatencyHistogram()
+    for sample in answered:
+        latency.record(sample.latency_ms)
+    return WindowResult(
+        window=window.name,
+        sent=len(inside),
+        **{fate.value: count for fate, count in counts.items()},
+        useful_per_s=counts[Fate.COMPLETE] / (window.to_s - window.from_s),
+        coverage=sum(s.coverage for s in answered) / max(1, len(answered)),
+        p50_ms=latency.read(50),
+        p95_ms=latency.read(95),
+        p99_ms=latency.read(99),
+    )
+
+
+def _subtract_counters(after, before):
+    summed = ("received", "violations")
+    return {
+        name: {
+            **{key: counts[key] - before[name][key] for key in summed},
+            "executions": _subtract_runs(counts, before[name]),
+        }
+        for name, counts in after.items()
+    }
+
+
+def _subtract_runs(after, before):
+    old = before["executions"]
+    return {key: n for key, n in after["executions"].items() if key not in old}
+
+
+def read_commit():
+    """Return the commit of the working tree, or ``unknown``."""
+    command = ["git", "rev-parse", "--short", "HEAD"]
+    result = subprocess.run(command, capture_output=True, text=True, check=False)
+    return result.stdout.strip() or "unknown"
+
+
+def run_experiment(experiment, on_result=lambda result: None):
+    """Run all variants of an experiment in turn and return their results."""
+    results = []
+    for number in range(experiment.rounds):
+        for variant in experiment.variants:
+            with tempfile.TemporaryDirectory(prefix="wisteria-load-") as folder:
+                run = ExperimentRun(experiment, variant, number, folder)
+                result = trio.run(run.run)
+            results.append(result)
+            on_result(result)
+    return results
--- a/src/wisteriaworks/local_layout.py
+++ b/src/wisteriaworks/local_layout.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import itertools
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -24,8 +25,13 @@
 )
 from wisteriaworks.processes import find_free_ports
 
-CREDENTIAL = "local-credential"
 PROFILE = "local"
+DEFAULT_PRIORITY = 1
+
+
+def credential_of(search):
+    """Return the credential of the one caller that may ask a search."""
+    return f"local-{search}"
 
 
 @dataclass(frozen=True)
@@ -48,10 +54,14 @@
     indexes: tuple[IndexLayout, ...]
     entries: int = 4
     controls: int = 3
+    # Processes that share the emulated servers.
+    emulators: int = 1
     profile: Profile = field(default_factory=Profile)
     limits: Limits = field(default_factory=Limits)
     timeout_ms: int = 2000
     seed: int = 1
+    # Priority by search; each search has a caller of its own.
+    priorities: Mapping[str, int] = field(default_factory=dict)
 
 
 DEMO_LAYOUT = Layout(
@@ -79,21 +89,25 @@
         )
         for index in layout.indexes
     }
-    caller = Caller(
-        credential_sha256=hashlib.sha256(CREDENTIAL.encode()).hexdigest(),
-        searches=tuple(searches),
-        timeout_ms=layout.timeout_ms,
-        priority=1,
-    )
     return Document(
         searches=searches,
         indexes=indexes,
-        callers={"steward": caller},
+        callers={f"{name}-caller": _create_caller(layout, name) for name in searches},
         domains={name: Domain() for name in layout.domains},
         limits=layout.limits,
     )
 
 
+def _create_caller(layout, search):
+    credential = credential_of(search)
+    return Caller(
+        credential_sha256=hashlib.sha256(credential.encode()).hexdigest(),
+        searches=(search,),
+        timeout_ms=layout.timeout_ms,
+        priority=layout.priorities.get(search, DEFAULT_PRIORITY),
+    )
+
+
 def _create_index(index, domains, ports):
     numbers = itertools.product(range(index.replica_sets), range(index.replicas))
     return Index(
@@ -111,15 +125,15 @@
     )
 
 
-def create_emulator_settings(layout, document, control):
-    """Return settings of an emulator for all servers of a document."""
+def create_emulator_settings(layout, document, controls, number):
+    """Return the settings of one of the emulators that share the servers."""
     indexes = {
         name: EmulatedIndex(
             partition_map=tuple(sorted({s.replica_set for s in index.servers}))
         )
         for name, index in document.indexes.items()
     }
-    servers = tuple(
+    servers = [
         ServerSettings(
             name=server.name,
             address=server.address,
@@ -129,7 +143,7 @@
         )
         for name, index in document.indexes.items()
         for server in index.servers
-    )
+    ]
     profiles = {
         f"{PROFILE}-{index.slots}": msgspec.structs.replace(
             layout.profile, slots=index.slots, connections=index.connections
@@ -137,10 +151,10 @@
         for index in layout.indexes
     }
     return EmulatorSettings(
-        control=control,
+        control=controls[number],
         seed=layout.seed,
         vm_list_lag_s=1.0,
         profiles=profiles,
         indexes=indexes,
-        servers=servers,
+        servers=tuple(servers[number :: len(controls)]),
     )
--- a/src/wisteriaworks/local_system.py
+++ b/src/wisteriaworks/local_system.py
@@ -30,9 +30,9 @@
     LogSettings,
 )
 from wisteriaworks.local_layout import (
-    CREDENTIAL,
     create_document,
     create_emulator_settings,
+    credential_of,
 )
 from wisteriaworks.processes import (
     fetch,
@@ -55,15 +55,15 @@
         self.document = document or create_document(layout)
         self.entries = {}
         self.controls = {}
-        self.emulator = None
+        self.emulators = {}
         self._stack = contextlib.AsyncExitStack()
         self._plan()
 
     def _plan(self):
         layout = self.layout
-        needed = 1 + 2 * layout.controls + 3 * layout.entries
+        needed = layout.emulators + 2 * layout.controls + 3 * layout.entries
         ports = (f"127.0.0.1:{port}" for port in find_free_ports(needed))
-        self.emulator_control = next(ports)
+        self.emulator_controls = tuple(itertools.islice(ports, layout.emulators))
         members = [(next(ports), next(ports)) for _ in range(layout.controls)]
         domains = itertools.cycle(layout.domains)
         self.control_settings = tuple(
@@ -74,7 +74,7 @@
                 admin=admin,
                 data_folder=str(self.folder / f"control-{number}"),
                 peers=tuple(other for other, _ in members if other != address),
-                platform=self.emulator_control,
+                platform=self.emulator_controls[0],
                 log=self._log(f"control-{number}"),
             )
             for number, ((address, admin), domain) in enumerate(
@@ -112,7 +112,9 @@
 
     async def start(self):
         """Start everything and wait until every entry is ready."""
-        await self.start_emulator()
+        async with trio.open_nursery() as nursery:
+            for number in range(self.layout.emulators):
+                nursery.start_soon(self.start_emulator, number)
         await self.start_control()
         await self.apply(self.document, 0)
         async with trio.open_nursery() as nursery:
@@ -120,22 +122,16 @@
                 nursery.start_soon(self.start_entry, cfg)
         await self.wait_for_holders()
 
-    async def start_emulator(self):
-        """Start the backend emulator."""
+    async def start_emulator(self, number):
+        """Start one of the backend emulators."""
         cfg = create_emulator_settings(
-            self.layout, self.document, self.emulator_control
+            self.layout, self.document, self.emulator_controls, number
         )
-        path = self._write("emulator", cfg)
-        self.emulator = await self._start("emulator", "backend_emulator", path, "")
-        await self._wait_for_emulator()
-
-    async def _wait_for_emulator(self):
-        with trio.fail_after(READY_TIMEOUT_S):
-            while True:
-                with contextlib.suppress(Exception):
-                    await fetch("GET", self.emulator_control, "/v1/vms")
-                    return
-                await trio.sleep(POLL_S)
+        name = f"emulator-{number + 1}"
+        path = self._write(name, cfg)
+        process = await self._start(name, "backend_emulator", path, cfg.control)
+        self.emulators[name] = process
+        await process.wait_ready("/v1/vms")
 
     async def start_control(self):
         """Start the control members and make all of them voters."""
@@ -144,9 +140,10 @@
         result = await run_program("control", ["init", path])
         if result.returncode:
             raise WisteriaError(f"control init failed: {result.stderr.decode()}")
-        await self.run_control(first)
+        async with trio.open_nursery() as nursery:
+            for cfg in self.control_settings:
+                nursery.start_soon(self.run_control, cfg)
         for cfg in others:
-            await self.run_control(cfg)
             await self.add_member(cfg)
 
     async def run_control(self, cfg):
@@ -179,6 +176,11 @@
                         return
                 await trio.sleep(POLL_S)
 
+    def pause_control(self, name, frozen):
+        """Freeze or resume a control member."""
+        number = signal.SIGSTOP if frozen else signal.SIGCONT
+        self.controls[name].send(number)
+
     async def start_entry(self, cfg):
         """Start one entry and wait until it is ready."""
         path = self._write(cfg.name, cfg)
@@ -227,15 +229,24 @@
         return [s.name for i in self.document.indexes.values() for s in i.servers]
 
     async def fault(self, command, **fields):
-        """Send a command to the emulator's control endpoint."""
-        body = msgspec.json.encode({"command": command, **fields})
-        status, reply = await fetch("POST", self.emulator_control, "/fault", body)
-        if status != 200:
-            raise WisteriaError(f"fault {command}: {status} {reply.decode()}")
+        """Send a command to the control endpoints of the emulators."""
+        named = fields.pop("servers", None)
+        for address in self.emulator_controls:
+            own = set(await self._read_counters(address))
+            servers = sorted(own if named is None else own & set(named))
+            if servers:
+                fault = {"command": command, "servers": servers, **fields}
+                await _send_fault(address, fault)
 
     async def read_counters(self):
         """Return what each emulated server counted, by name."""
-        _, body = await fetch("GET", self.emulator_control, "/counters")
+        counters = {}
+        for address in self.emulator_controls:
+            counters.update(await self._read_counters(address))
+        return counters
+
+    async def _read_counters(self, address):
+        _, body = await fetch("GET", address, "/counters")
         return msgspec.json.decode(body)
 
     async def search(self, entry, search, query, **options):
@@ -250,7 +261,7 @@
         async def stop_one(process):
             codes[process.name] = await process.stop()
 
-        for group in (self.entries, self.controls, {"emulator": self.emulator}):
+        for group in (self.entries, self.controls, self.emulators):
             async with trio.open_nursery() as nursery:
                 for process in group.values():
                     nursery.start_soon(stop_one, process)
@@ -266,14 +277,21 @@
         return await start_process(name, module, ["run", path], admin, log)
 
     async def _kill_all(self):
-        processes = [*self.entries.values(), *self.controls.values()]
-        processes += [self.emulator] if self.emulator else []
+        groups = (self.entries, self.controls, self.emulators)
+        processes = [process for group in groups for process in group.values()]
         with trio.CancelScope(shield=True):
             for process in processes:
                 process.send(signal.SIGCONT)
                 await process.kill()
 
 
+async def _send_fault(address, fault):
+    body = msgspec.json.encode(fault)
+    status, reply = await fetch("POST", address, "/fault", body)
+    if status != 200:
+        raise WisteriaError(f"fault {fault}: {status} {reply.decode()}")
+
+
 def create_id():
     """Return a new UUIDv7 as text."""
     return str(uuid_utils.uuid7())
@@ -286,13 +304,14 @@
     request_id=None,
     routing_key=None,
     timeout_ms=None,
-    credential=CREDENTIAL,
+    credential=None,
     timeout_s=10.0,
 ):
     """Send one search; return status and decoded body."""
     body = {"request_id": request_id or create_id(), "query": query}
     if routing_key is not None:
         body["routing_key"] = routing_key
+    credential = credential or credential_of(search)
     headers = [(b"authorization", f"Bearer {credential}".encode())]
     if timeout_ms is not None:
         headers.append((b"x-timeout-ms", str(timeout_ms).encode()))
--- a/src/wisteriaworks/processes.py
+++ b/src/wisteriaworks/processes.py
@@ -77,13 +77,14 @@
         """Wait until the program answers that it is ready. Raises WisteriaError."""
         with trio.move_on_after(READY_TIMEOUT_S):
             while self._process.returncode is None:
-                if await self._is_ready(path):
+                if await self.is_ready(path):
                     return
                 await trio.sleep(POLL_S)
                 self._process.poll()
         raise WisteriaError(f"{self.name} did not become ready; its log: {self._log}")
 
-    async def _is_ready(self, path):
+    async def is_ready(self, path):
+        """Say whether the program answers a page of its admin address with 200."""
         with contextlib.suppress(httpcore.NetworkError, httpcore.TimeoutException):
             status, _ = await fetch("GET", self.admin, path, timeout_s=1.0)
             return status == 200
--- /dev/null
+++ b/src/wisteriaworks/quantiles.py
@@ -0,0 +1,24 @@
+"""Record latencies in a high dynamic range histogram."""
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_US = 1
+_HIGHEST_US = 600_000_000
+_DIGITS = 3
+_US_PER_MS = 1000
+
+
+class LatencyHistogram:
+    """Hold latencies and read their percentiles, in milliseconds."""
+
+    def __init__(self):
+        self._histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+
+    def record(self, latency_ms):
+        """Add one latency."""
+        latency_us = int(latency_ms * _US_PER_MS)
+        self._histogram.record_value(min(max(latency_us, _LOWEST_US), _HIGHEST_US))
+
+    def read(self, percentile):
+        """Return a percentile, 0 if there are no latencies."""
+        return self._histogram.get_value_at_percentile(percentile) / _US_PER_MS
