Add the replicated state machine of control

Considered: Assign with session 0 to free a server. A resent release could then free a server that was assigned again, so ReleaseServers carries session and epoch of each release instead. Epochs of servers that leave the document are covered by a floor rather than by a record for each name ever used.

--- /dev/null
+++ b/src/wisteriaworks/state_machine.py
@@ -0,0 +1,290 @@
+"""The replicated state of control: a pure function of its commands."""
+
+import hashlib
+
+import msgspec
+
+from wisteriaworks.claim_table import ClaimTable
+from wisteriaworks.generated.commands import (
+    Assign,
+    ClaimRequest,
+    CloseSession,
+    Holding,
+    OpenSession,
+    OperationRecord,
+    PutConfiguration,
+    ReleaseServers,
+    ResolveRequest,
+    SessionRecord,
+    Snapshot,
+    Stamped,
+    Tick,
+)
+from wisteriaworks.generated.document import Document
+from wisteriaworks.generated.messages import (
+    ClaimRecordReply,
+    ConfigurationReply,
+    ProposeResult,
+)
+from wisteriaworks.operations import OperationTable
+from wisteriaworks.uuid7 import parse_uuid7
+
+_ENCODER = msgspec.msgpack.Encoder()
+_STABLE_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
+_COMMANDS = msgspec.msgpack.Decoder(Stamped)
+_SNAPSHOTS = msgspec.msgpack.Decoder(Snapshot)
+_DIGEST_BYTES = 16
+_OLD_OPERATION = "operation_id: expected a UUIDv7 made during the last day"
+_REUSED_OPERATION = "operation_id: expected a new id, this one names another change"
+
+
+def encode_command(command, time_ms):
+    """Return a command as the bytes that ``StateMachine.apply`` takes."""
+    return _ENCODER.encode(Stamped(time_ms=time_ms, command=command))
+
+
+def list_servers(document):
+    """Return all servers of a document by name."""
+    return {
+        server.name: server
+        for index in document.indexes.values()
+        for server in index.servers
+    }
+
+
+class StateMachine:
+    """Apply commands in log order.
+
+    ``on_settled`` is called with the key of each claim that reaches a final
+    state or is dropped. It must not change the machine.
+    """
+
+    def __init__(self, on_settled=lambda key: None):
+        self._on_settled = on_settled
+        # Grows whenever sessions, holdings or the list of servers change.
+        self.revision = 0
+        self._load(
+            Snapshot(
+                applied_index=0,
+                time_ms=0,
+                version=0,
+                document=Document(),
+                sessions=(),
+                holdings=(),
+                epoch_floor=0,
+                operations=(),
+                operation_floor_ms=0,
+                claims=(),
+                claim_floor_ms=0,
+            )
+        )
+
+    def apply(self, index, data):
+        """Apply one encoded command and return its result."""
+        stamped = _COMMANDS.decode(data)
+        assert index > self.applied_index, "commands are applied in log order"
+        self.applied_index = index
+        self.time_ms = max(self.time_ms, stamped.time_ms)
+        return self._apply(stamped.command)
+
+    def encode_snapshot(self):
+        """Return the whole state as bytes."""
+        return _ENCODER.encode(
+            Snapshot(
+                applied_index=self.applied_index,
+                time_ms=self.time_ms,
+                version=self.version,
+                document=self.document,
+                sessions=tuple(self.sessions.values()),
+                holdings=tuple(sorted(self.holdings.values(), key=_get_server)),
+                epoch_floor=self._epoch_floor,
+                operations=self._operations.list_records(),
+                operation_floor_ms=self._operations.floor_ms,
+                claims=self._claims.list_claims(),
+                claim_floor_ms=self._claims.floor_ms,
+            )
+        )
+
+    def restore_snapshot(self, data):
+        """Replace the whole state."""
+        self._load(_SNAPSHOTS.decode(data))
+
+    def read_claim(self, key):
+        """Return the record of a claim by its key, or None."""
+        return self._claims.read(key)
+
+    def has_expired_claims(self, now_ms):
+        """Say whether a Tick at that time would drop records."""
+        return self._claims.has_expired(max(now_ms, self.time_ms), self._window_ms)
+
+    def count_held(self, session):
+        """Return the number of servers that a session holds."""
+        return len(self._held[session])
+
+    def take_changed_servers(self):
+        """Return the servers that were changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    @property
+    def _window_ms(self):
+        return self.document.limits.request_id_window_s * 1000
+
+    def _load(self, snapshot):
+        self.applied_index = snapshot.applied_index
+        self.time_ms = snapshot.time_ms
+        self.version = snapshot.version
+        self.document = snapshot.document
+        self.servers = list_servers(snapshot.document)
+        self.sessions = {record.number: record for record in snapshot.sessions}
+        self.holdings = {holding.server: holding for holding in snapshot.holdings}
+        self._held = {number: set() for number in self.sessions}
+        for holding in snapshot.holdings:
+            if holding.session:
+                self._held[holding.session].add(holding.server)
+        self._epoch_floor = snapshot.epoch_floor
+        self._operations = OperationTable(
+            snapshot.operations, snapshot.operation_floor_ms
+        )
+        self._claims = ClaimTable(
+            snapshot.claims, snapshot.claim_floor_ms, self._on_settled
+        )
+        self._changed = set()
+        self._note_changed({*self.servers, *self.holdings})
+
+    def _apply(self, command):
+        match command:
+            case PutConfiguration():
+                return self._put_configuration(command)
+            case OpenSession():
+                return self._open_session(command)
+            case CloseSession(session=number):
+                return self._close_session(number)
+            case Assign(servers=servers):
+                return self._assign(servers)
+            case ReleaseServers():
+                return self._release(command)
+            case ClaimRequest(claim=claim):
+                self._claims.drop_expired(self.time_ms, self._window_ms)
+                is_open = claim.session in self.sessions
+                return self._claims.claim(claim, self.time_ms, is_open)
+            case ResolveRequest(resolve=resolve):
+                limit = self.document.limits.max_recorded_answer_bytes
+                record = self._claims.resolve(resolve, limit)
+                return ClaimRecordReply(record=record)
+            case Tick():
+                return self._claims.drop_expired(self.time_ms, self._window_ms)
+
+    def _put_configuration(self, command):
+        operation = parse_uuid7(command.operation_id)
+        if operation is None:
+            return self._refuse_operation(_OLD_OPERATION)
+        digest = _compute_digest(command)
+        known = self._operations.find(operation.key)
+        if known is not None:
+            return self._answer_again(known, digest)
+        if not self._operations.is_acceptable(operation.time_ms, self.time_ms):
+            return self._refuse_operation(_OLD_OPERATION)
+        result = ProposeResult.CONFLICT
+        if command.expected_version == self.version:
+            result = ProposeResult.ACCEPTED
+            self._replace_document(command.document)
+        record = OperationRecord(operation.key, digest, result, self.version)
+        self._operations.add(record)
+        return self._answer_again(record, digest)
+
+    def _refuse_operation(self, problem):
+        return ConfigurationReply(ProposeResult.INVALID, self.version, None, (problem,))
+
+    def _answer_again(self, record, digest):
+        if record.digest != digest:
+            return self._refuse_operation(_REUSED_OPERATION)
+        if record.result is ProposeResult.CONFLICT:
+            # The operator needs the document to start from, which is the
+            # current one; old documents are not kept.
+            return ConfigurationReply(record.result, self.version, self.document)
+        return ConfigurationReply(record.result, record.version, None)
+
+    def _replace_document(self, document):
+        before = set(self.servers)
+        self.version += 1
+        self.document = document
+        self.servers = list_servers(document)
+        self._note_changed(before ^ set(self.servers))
+        for server in sorted(before - set(self.servers)):
+            self._forget_if_free(server)
+
+    def _open_session(self, command):
+        number = self.applied_index
+        assert number not in self.sessions
+        self.sessions[number] = SessionRecord(
+            number, command.name, command.domain, command.address
+        )
+        self._held[number] = set()
+        self.revision += 1
+        return number
+
+    def _close_session(self, number):
+        if self.sessions.pop(number, None) is None:
+            return
+        self.revision += 1
+        self._claims.close_session(number)
+        for server in sorted(self._held.pop(number)):
+            self._free(server)
+
+    def _assign(self, servers):
+        assigned = {
+            server: session
+            for server, session in servers.items()
+            if self._can_assign(server, session)
+        }
+        for server, session in assigned.items():
+            epoch = self._read_epoch(server) + 1
+            self.holdings[server] = Holding(server, session, epoch)
+            self._held[session].add(server)
+        self._note_changed(assigned)
+        return assigned
+
+    def _can_assign(self, server, session):
+        holding = self.holdings.get(server)
+        is_free = holding is None or holding.session == 0
+        return is_free and session in self.sessions and server in self.servers
+
+    def _read_epoch(self, server):
+        holding = self.holdings.get(server)
+        return self._epoch_floor if holding is None else holding.epoch
+
+    def _release(self, command):
+        for release in command.released:
+            expected = Holding(release.server, command.session, release.epoch)
+            if command.session and self.holdings.get(release.server) == expected:
+                self._held[command.session].remove(release.server)
+                self._free(release.server)
+
+    def _note_changed(self, servers):
+        self._changed.update(servers)
+        self.revision += 1
+
+    def _free(self, server):
+        epoch = self.holdings[server].epoch
+        self.holdings[server] = Holding(server, 0, epoch)
+        self._note_changed((server,))
+        if server not in self.servers:
+            self._forget_if_free(server)
+
+    def _forget_if_free(self, server):
+        # The floor keeps the epochs of a server that comes back from
+        # repeating, without a record for each name ever used.
+        holding = self.holdings.get(server)
+        if holding is not None and holding.session == 0:
+            del self.holdings[server]
+            self._epoch_floor = max(self._epoch_floor, holding.epoch)
+
+
+def _get_server(holding):
+    return holding.server
+
+
+def _compute_digest(command):
+    content = _STABLE_ENCODER.encode((command.expected_version, command.document))
+    return hashlib.sha256(content).digest()[:_DIGEST_BYTES]
--- /dev/null
+++ b/src/wisteriaworks/uuid7.py
@@ -0,0 +1,31 @@
+"""Read the UUIDv7 identifiers of requests and operations."""
+
+import uuid
+from dataclasses import dataclass
+
+_TIME_SHIFT_BITS = 80
+_VERSION = 7
+
+
+@dataclass(frozen=True, slots=True)
+class TimedId:
+    """Hold an identifier in its one binary form and the time inside it."""
+
+    key: bytes
+    time_ms: int
+
+
+def parse_uuid7(text):
+    """Return a UUIDv7 as ``TimedId``, or None if the text is not one."""
+    try:
+        value = uuid.UUID(text)
+    except ValueError:
+        return None
+    if value.version != _VERSION:
+        return None
+    return TimedId(value.bytes, read_time_ms(value.bytes))
+
+
+def read_time_ms(key):
+    """Return the milliseconds since the Unix epoch inside a UUIDv7."""
+    return int.from_bytes(key) >> _TIME_SHIFT_BITS
