--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -104,10 +104,17 @@
 
 
 class ControlError(WisteriaError):
-    """Report that no control member answered as the leader in time."""
+    """Report that no control member answered as the leader in time.
+
+    ``sent`` says whether a try may have reached a leader.
+    """
 
     exit_code = 4
 
+    def __init__(self, message, sent=False):
+        super().__init__(message)
+        self.sent = sent
+
 
 class ConflictError(WisteriaError):
     """Report that another operator changed the configuration first."""
