Add the program wisteria-control

Cause: heartbeats, configuration, claims and assignment need a running member before the replicated log is ready.

--- /dev/null
+++ b/src/wisteriaworks/admin.py
@@ -0,0 +1,58 @@
+"""Serve health, readiness and metrics over HTTP."""
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from wisteriaworks.metrics import render_metrics
+
+_TEXT = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+class AdminApp:
+    """Answer ``/health``, ``/ready`` and ``/metrics`` as an ASGI app."""
+
+    def __init__(self, is_ready):
+        self._is_ready = is_ready
+
+    async def __call__(self, scope, receive, send):
+        match scope["type"]:
+            case "lifespan":
+                await _run_lifespan(receive, send)
+            case "http":
+                await _respond(send, *self._answer(scope))
+
+    def _answer(self, scope):
+        if scope["method"] not in ("GET", "HEAD"):
+            return 405, b"method not allowed\n"
+        match scope["path"]:
+            case "/health":
+                return 200, b"ok\n"
+            case "/ready":
+                return (200, b"ready\n") if self._is_ready() else (503, b"not ready\n")
+            case "/metrics":
+                return 200, render_metrics()
+        return 404, b"not found\n"
+
+
+async def serve_http(app, address, *, task_status=trio.TASK_STATUS_IGNORED):
+    """Serve an ASGI app at ``HOST:PORT`` until cancelled."""
+    cfg = Config()
+    cfg.bind = [address]
+    cfg.accesslog = None
+    cfg.errorlog = None
+    await serve(app, cfg, task_status=task_status)
+
+
+async def _run_lifespan(receive, send):
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _respond(send, status, body):
+    headers = [(b"content-type", _TEXT), (b"content-length", b"%d" % len(body))]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/wisteriaworks/control.py
@@ -0,0 +1,176 @@
+"""The program wisteria-control."""
+
+import contextlib
+import functools
+import importlib.metadata
+import signal
+from typing import ClassVar
+
+import trio
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+
+from wisteriaworks.admin import AdminApp, serve_http
+from wisteriaworks.assigner import Assigner
+from wisteriaworks.control_node import ControlNode
+from wisteriaworks.control_service import ControlService
+from wisteriaworks.errors import WisteriaError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.settings import ControlSettings
+from wisteriaworks.logs import configure_logs
+from wisteriaworks.metrics import create_metrics
+from wisteriaworks.platform_list import watch_platform
+from wisteriaworks.rpc import RpcServer
+from wisteriaworks.settings import load_settings
+from wisteriaworks.single_replica import (
+    ProposalUnknownError,
+    SingleReplica,
+    initialise_member,
+)
+
+PROGRAM = "wisteria-control"
+STOP_TIMEOUT_S = 10.0
+DRAIN_INTERVAL_S = 0.02
+# Replies are handed to the connections' writers, which run after the handlers.
+FLUSH_S = 0.1
+
+
+class ControlProgram:
+    """Run one control member until it is told to stop."""
+
+    def __init__(self, cfg, metrics):
+        self._cfg = cfg
+        self._node = ControlNode(cfg, metrics)
+        self._service = ControlService(self._node)
+        self._server = RpcServer(self._service.list_handlers(), _log_failure)
+
+    @property
+    def node(self):
+        """Return what the parts of the member share."""
+        return self._node
+
+    def is_ready(self):
+        """Say whether this member can name a leader."""
+        return not self._node.is_stopping and bool(self._node.replica.leader_address)
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled; ``started`` gets the listeners."""
+        with contextlib.ExitStack() as stack:
+            replica = SingleReplica(self._cfg, self._node.machine)
+            self._node.replica = stack.enter_context(replica)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(replica.run)
+                nursery.start_soon(Assigner(self._node).run)
+                if self._cfg.platform is not None:
+                    nursery.start_soon(
+                        watch_platform, self._cfg.platform, self._take_leaving
+                    )
+                app = AdminApp(self.is_ready)
+                await nursery.start(serve_http, app, self._cfg.admin)
+                listeners = await nursery.start(self._server.serve, self._cfg.address)
+                task_status.started(listeners)
+
+    async def drain(self):
+        """Stop accepting calls and wait for those that are running."""
+        self._node.stop()
+        self._server.announce_stop()
+        while self._service.running:
+            await trio.sleep(DRAIN_INTERVAL_S)
+        await trio.sleep(FLUSH_S)
+
+    def _take_leaving(self, addresses):
+        self._node.leaving = addresses
+
+
+def _log_failure(exc):
+    # The caller is told that the outcome is unknown; nothing is wrong here.
+    if not isinstance(exc, ProposalUnknownError):
+        log_event(Event.HANDLER_FAILED, reason=repr(exc))
+
+
+async def run_until_signal(program):
+    """Run a program until SIGTERM or SIGINT; return the exit code.
+
+    A second signal, or a stop that takes longer than ``STOP_TIMEOUT_S``,
+    ends it with exit code 1.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(program.run)
+            log_event(Event.PROCESS_STARTED)
+            await anext(signals)
+            log_event(Event.PROCESS_STOPPING)
+            is_drained = await _drain(program, signals)
+            nursery.cancel_scope.cancel()
+    event = Event.PROCESS_STOPPED if is_drained else Event.STOP_TIMED_OUT
+    log_event(event)
+    return 0 if is_drained else 1
+
+
+async def _drain(program, signals):
+    is_drained = False
+
+    async def drain(scope):
+        nonlocal is_drained
+        await program.drain()
+        is_drained = True
+        scope.cancel()
+
+    with trio.move_on_after(STOP_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(drain, nursery.cancel_scope)
+            await anext(signals)
+            nursery.cancel_scope.cancel()
+    return is_drained
+
+
+class _SettingsCommand(Command):
+    arguments: ClassVar[list[Argument]] = [
+        argument("settings", "Settings file of this member (YAML).")
+    ]
+
+    def handle(self):
+        try:
+            path = self.argument("settings")
+            return self._run(load_settings(path, ControlSettings))
+        except WisteriaError as exc:
+            self.line_error(exc.message, style="error")
+            return exc.exit_code
+
+
+class InitCommand(_SettingsCommand):
+    """Create the first member."""
+
+    name = "init"
+    description = "Create the first control member in an empty data folder, once."
+
+    def _run(self, cfg):
+        self.line(initialise_member(cfg))
+        return 0
+
+
+class RunCommand(_SettingsCommand):
+    """Run a member."""
+
+    name = "run"
+    description = "Run a control member until SIGTERM."
+
+    def _run(self, cfg):
+        configure_logs(cfg.log, PROGRAM, cfg.name)
+        program = ControlProgram(cfg, create_metrics(PROGRAM, cfg.name))
+        return trio.run(functools.partial(run_until_signal, program))
+
+
+def make_application():
+    """Return the command line of wisteria-control."""
+    app = Application(PROGRAM, importlib.metadata.version("wisteriaworks"))
+    app.add(InitCommand())
+    app.add(RunCommand())
+    return app
+
+
+def main():
+    """Run the command line of wisteria-control."""
+    make_application().run()
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -51,6 +51,7 @@
     CONFIGURATION_ACCEPTED = _Spec(506, "INFO", "configuration accepted")
     SESSION_CLOSED = _Spec(507, "INFO", "session closed")
     SERVERS_ASSIGNED = _Spec(508, "INFO", "servers assigned")
+    PLATFORM_UNREADABLE = _Spec(509, "WARNING", "list of VMs cannot be read")
 
 
 def log_event(event, **fields):
--- /dev/null
+++ b/src/wisteriaworks/platform_list.py
@@ -0,0 +1,59 @@
+"""Poll the platform's list of VMs for backend servers that are leaving."""
+
+import httpcore
+import msgspec
+import trio
+
+from wisteriaworks.events import Event, log_event
+
+POLL_INTERVAL_S = 1.0
+TIMEOUT_S = 2.0
+_LEAVING = "leaving"
+
+
+class _Vm(msgspec.Struct, frozen=True):
+    address: str
+    state: str
+
+
+class _VmList(msgspec.Struct, frozen=True):
+    vms: tuple[_Vm, ...]
+
+
+_DECODER = msgspec.json.Decoder(_VmList)
+_FAILURES = (
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    msgspec.MsgspecError,
+)
+
+
+def parse_leaving(body):
+    """Return the addresses that a list names as leaving.
+
+    Raises msgspec.MsgspecError.
+    """
+    vms = _DECODER.decode(body).vms
+    return frozenset(vm.address for vm in vms if vm.state == _LEAVING)
+
+
+async def watch_platform(address, on_leaving):
+    """Call ``on_leaving`` with each list that could be read, until cancelled.
+
+    While the list cannot be read, the last one stays in force.
+    """
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
+    url = f"http://{address}/v1/vms"
+    is_failing = False
+    async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+        while True:
+            try:
+                reply = await pool.request("GET", url, extensions={"timeout": timeouts})
+                on_leaving(parse_leaving(reply.content))
+                is_failing = False
+            except _FAILURES as exc:
+                if not is_failing:
+                    log_event(Event.PLATFORM_UNREADABLE, reason=repr(exc))
+                is_failing = True
+            await trio.sleep(POLL_INTERVAL_S)
