Test the replicated state machine

Cause: at most one grant per (caller, id) and a configuration that never reverts must hold over any interleaving of commands.

--- /dev/null
+++ b/tests/test_state_machine.py
@@ -0,0 +1,330 @@
+"""Guard against a second run of a request and a lost or reverted change."""
+
+import os
+import uuid
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from wisteriaworks import claim_table, operations
+from wisteriaworks.generated.commands import (
+    Assign,
+    ClaimRequest,
+    CloseSession,
+    OpenSession,
+    PutConfiguration,
+    ReleaseServers,
+    ResolveRequest,
+    Tick,
+)
+from wisteriaworks.generated.document import Document, Index, Limits, Server
+from wisteriaworks.generated.messages import (
+    Claim,
+    ClaimResult,
+    ClaimState,
+    ProposeResult,
+    Release,
+    Resolve,
+)
+from wisteriaworks.state_machine import StateMachine, encode_command
+
+SOAK = int(os.environ.get("WISTERIA_SOAK", "1"))
+START_MS = 1_800_000_000_000
+WINDOW_S = 10
+GRANTED, EXISTS, REUSED, EXPIRED, CLOSED = ClaimResult
+CLAIMED, DONE, NOT_RUN, UNKNOWN = ClaimState
+
+
+def soak(examples):
+    return settings(max_examples=examples * SOAK, deadline=None, derandomize=True)
+
+
+def make_id(time_ms, number=0):
+    return str(uuid.UUID(int=time_ms << 80 | 7 << 76 | 2 << 62 | number))
+
+
+def make_document(names="", window_s=WINDOW_S, recorded=16):
+    fixed = {"address": "127.0.0.1:1", "domain": "a", "slots": 2, "connections": 2}
+    servers = tuple(Server(name=name, replica_set=name, **fixed) for name in names)
+    limits = Limits(request_id_window_s=window_s, max_recorded_answer_bytes=recorded)
+    indexes = {"i": Index(servers=servers)} if servers else {}
+    return Document(indexes=indexes, limits=limits)
+
+
+class Driver:
+    """Apply commands, each with the next index, at a movable time.
+
+    A second machine, which takes and restores a snapshot before each command,
+    must give the same results.
+    """
+
+    def __init__(self):
+        self.machine, self.restored = StateMachine(), StateMachine()
+        self.now_ms = START_MS
+        self.index = 0
+        self.changes = 0
+
+    def apply(self, command):
+        self.index += 1
+        data = encode_command(command, self.now_ms)
+        other = StateMachine()
+        other.restore_snapshot(self.restored.encode_snapshot())
+        self.restored = other
+        result = self.machine.apply(self.index, data)
+        assert other.apply(self.index, data) == result
+        assert other.encode_snapshot() == self.machine.encode_snapshot()
+        return result
+
+    def open(self):
+        return self.apply(OpenSession("e", "a", "e:1"))
+
+    def put(self, document):
+        self.changes += 1
+        operation_id = make_id(self.now_ms, self.changes)
+        version = self.machine.version
+        return self.apply(PutConfiguration(operation_id, version, document))
+
+    def claim(self, session, request_id, **fields):
+        fields = {"caller": "c", "digest": b"d", "refuse": False} | fields
+        claim = Claim(session=session, request_id=request_id, **fields)
+        return self.apply(ClaimRequest(claim))
+
+    def resolve(self, session, request_id, state, answer=b"", caller="c"):
+        resolve = Resolve(session, caller, request_id, state, answer)
+        return self.apply(ResolveRequest(resolve)).record
+
+
+@pytest.fixture
+def driver():
+    driver = Driver()
+    driver.put(make_document())
+    return driver
+
+
+SMALL = st.integers(0, 2)
+STEPS = st.one_of(
+    st.tuples(st.just("claim"), SMALL, SMALL, st.booleans()),
+    st.tuples(st.just("resolve"), SMALL, SMALL, st.sampled_from(ClaimState)),
+    st.tuples(st.just("close"), SMALL),
+    st.tuples(st.just("advance"), st.sampled_from([1, 4_000, 9_000, -3_000])),
+    st.tuples(st.just("window"), st.sampled_from([1, WINDOW_S, 1000])),
+    st.tuples(st.just("tick")),
+)
+
+
+@soak(150)
+@given(st.lists(STEPS, max_size=40))
+def test_a_request_is_granted_at_most_once(steps):
+    """Also over expiry, window changes, closed sessions and snapshots."""
+    driver = Driver()
+    sessions = [driver.open() for _ in range(3)]
+    granted, final = set(), {}
+    for kind, *values in steps:
+        match kind, values:
+            case "claim", [session, number, refuse]:
+                request_id = make_id(START_MS + number * 5_000, number)
+                session = sessions[session]
+                reply = driver.claim(session, request_id, refuse=refuse)
+                assert reply.result is not GRANTED or number not in granted
+                assert reply.result is not GRANTED or number not in final
+                assert reply.result is not GRANTED or not refuse
+                granted |= {number} if reply.result is GRANTED else set()
+                record = reply.record
+            case "resolve", [session, number, state]:
+                request_id = make_id(START_MS + number * 5_000, number)
+                record = driver.resolve(sessions[session], request_id, state)
+            case "close", [session]:
+                driver.apply(CloseSession(sessions[session]))
+            case "advance", [step_ms]:
+                driver.now_ms += step_ms
+            case "window", [window_s]:
+                driver.put(make_document(window_s=window_s))
+            case "tick", []:
+                driver.apply(Tick())
+        if kind in ("claim", "resolve") and record and record.state is not CLAIMED:
+            assert final.setdefault(number, record.state) is record.state
+
+
+OPERATIONS = st.tuples(SMALL, SMALL, st.integers(0, 5))
+
+
+@soak(100)
+@given(st.lists(OPERATIONS, max_size=30))
+def test_configuration_is_a_register_with_compare_and_set(changes):
+    driver = Driver()
+    version, document, answers = 0, Document(), {}
+    for lag, content, number in changes:
+        proposed = make_document(window_s=1 + content)
+        expected = max(0, version - lag)
+        command = PutConfiguration(make_id(START_MS, number), expected, proposed)
+        reply = driver.apply(command)
+        first = answers.get(number)
+        if first is None and expected == version:
+            version, document = version + 1, proposed
+            answers[number] = (expected, proposed, ProposeResult.ACCEPTED, version)
+        elif first is None:
+            answers[number] = (expected, proposed, ProposeResult.CONFLICT, None)
+        *key, result, accepted = answers[number]
+        is_same = key == [expected, proposed]
+        assert reply.result is (result if is_same else ProposeResult.INVALID)
+        if reply.result is ProposeResult.CONFLICT:
+            assert (reply.version, reply.document) == (version, document)
+        if reply.result is ProposeResult.ACCEPTED:
+            assert reply.version == accepted
+        assert (driver.machine.version, driver.machine.document) == (version, document)
+
+
+MOVES = st.one_of(
+    st.tuples(st.just("assign"), st.sampled_from("xyz"), SMALL),
+    st.tuples(st.just("release"), st.sampled_from("xyz"), SMALL, st.integers(0, 4)),
+    st.tuples(st.just("close"), SMALL),
+    st.tuples(st.just("put"), st.sampled_from(["x", "xyz", "yz"])),
+)
+
+
+@soak(100)
+@given(st.lists(MOVES, max_size=40))
+def test_an_epoch_has_one_holder(moves):
+    """Also after a resent release, and for a server that left and came back."""
+    driver = Driver()
+    sessions = [driver.open() for _ in range(3)]
+    driver.put(make_document("xyz"))
+    holders = {}
+    for kind, *values in moves:
+        before = dict(driver.machine.holdings)
+        match kind, values:
+            case "assign", [server, session]:
+                driver.apply(Assign({server: sessions[session]}))
+                kept = before.get(server)
+                if kept is not None and kept.session:
+                    assert driver.machine.holdings[server] == kept
+            case "release", [server, session, epoch]:
+                release = Release(server, epoch)
+                driver.apply(ReleaseServers(sessions[session], (release,)))
+                kept = before.get(server)
+                if kept and (kept.session, kept.epoch) != (sessions[session], epoch):
+                    assert driver.machine.holdings.get(server) == kept
+            case "close", [session]:
+                driver.apply(CloseSession(sessions[session]))
+            case "put", [names]:
+                driver.put(make_document(names))
+        for server, holding in driver.machine.holdings.items():
+            if holding.session:
+                key = (server, holding.epoch)
+                assert holders.setdefault(key, holding.session) == holding.session
+                assert holding.session in driver.machine.sessions
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "fields", "result"),
+    [
+        (0, {"digest": b"other"}, REUSED),
+        (0, {}, EXISTS),
+        (1, {}, GRANTED),
+        (WINDOW_S * 1000, {}, GRANTED),
+        (WINDOW_S * 1000 + 1, {}, EXPIRED),
+        (-claim_table.MAX_FUTURE_MS, {}, GRANTED),
+        (-claim_table.MAX_FUTURE_MS - 1, {}, EXPIRED),
+        (1, {"session": 99}, CLOSED),
+        (0, {"session": 99}, EXISTS),
+        (1, {"session": 99, "refuse": True}, EXISTS),
+        (1, {"request_id": "not an id"}, EXPIRED),
+        (0, {"request_id": make_id(START_MS).upper()}, EXISTS),
+        (0, {"caller": "other"}, GRANTED),
+    ],
+)
+def test_claim_results(driver, age_ms, fields, result):
+    session = driver.open()
+    driver.claim(session, make_id(START_MS))
+    claim = {"session": session, "request_id": make_id(START_MS - age_ms)} | fields
+    assert driver.claim(**claim).result is result
+
+
+def test_longer_window_does_not_let_a_dropped_id_in(driver):
+    session, request_id = driver.open(), make_id(START_MS)
+    driver.claim(session, request_id)
+    driver.now_ms += WINDOW_S * 1000 + 1
+    driver.apply(Tick())
+    assert driver.resolve(session, request_id, DONE) is None
+    driver.put(make_document(window_s=3600))
+    assert driver.claim(session, request_id).result is EXPIRED
+
+
+def test_time_never_goes_back(driver):
+    """A new leader whose clock is behind must not revive an expired id."""
+    session = driver.open()
+    driver.now_ms += WINDOW_S * 1000 + 1
+    driver.open()
+    driver.now_ms = START_MS
+    assert driver.claim(session, make_id(START_MS)).result is EXPIRED
+
+
+@pytest.mark.parametrize(
+    ("is_own", "state", "answer", "expected"),
+    [
+        (True, DONE, b"x" * 16, (DONE, b"x" * 16)),
+        (True, DONE, b"x" * 17, (DONE, b"")),
+        (True, NOT_RUN, b"", (NOT_RUN, b"")),
+        (True, CLAIMED, b"x", (CLAIMED, b"")),
+        (False, DONE, b"x", (CLAIMED, b"")),
+    ],
+)
+def test_only_the_claiming_session_resolves(driver, is_own, state, answer, expected):
+    session, other, request_id = driver.open(), driver.open(), make_id(START_MS)
+    driver.claim(session, request_id)
+    record = driver.resolve(session if is_own else other, request_id, state, answer)
+    assert (record.state, record.answer) == expected
+
+
+def test_closing_a_session_settles_its_claims_and_frees_its_servers(driver):
+    driver.put(make_document("xy"))
+    session, request_id = driver.open(), make_id(START_MS)
+    driver.apply(Assign({"x": session}))
+    driver.claim(session, request_id)
+    settled = []
+    driver.machine._claims._on_settled = settled.append
+    driver.apply(CloseSession(session))
+    assert settled == [claim_table.make_claim_key("c", request_id)]
+    assert driver.resolve(session, request_id, DONE).state is UNKNOWN
+    assert driver.machine.holdings["x"].session == 0
+
+
+@pytest.mark.parametrize("age_ms", [operations.MAX_AGE_MS + 1, -60_001])
+def test_operation_of_another_time_is_refused(driver, age_ms):
+    command = PutConfiguration(make_id(START_MS - age_ms), 1, Document())
+    assert driver.apply(command).result is ProposeResult.INVALID
+
+
+def test_dropped_operation_is_refused(driver, monkeypatch):
+    """A resend after many other changes must not be answered as a new one."""
+    monkeypatch.setattr(operations, "MAX_OPERATIONS", 3)
+    commands = []
+    for number in range(5):
+        command = PutConfiguration(make_id(START_MS + number), 1 + number, Document())
+        assert driver.apply(command).result is ProposeResult.ACCEPTED
+        commands.append(command)
+    again = [driver.apply(command).result for command in commands]
+    assert again == [ProposeResult.INVALID] * 2 + [ProposeResult.ACCEPTED] * 3
+
+
+def test_shorter_window_drops_a_bounded_number_at_once(driver, monkeypatch):
+    """One command must not hold the leader up while it drops a week of claims."""
+    monkeypatch.setattr(claim_table, "MAX_DROPPED_PER_COMMAND", 2)
+    session = driver.open()
+    ids = [make_id(START_MS, number) for number in range(5)]
+    for request_id in ids:
+        driver.claim(session, request_id)
+    driver.now_ms += WINDOW_S * 1000 + 1
+    counts = []
+    for _ in range(3):
+        driver.apply(Tick())
+        counts.append(len(driver.machine._claims))
+        assert {driver.claim(session, i).result for i in ids} == {EXPIRED}
+    assert counts[0] == 3
+    assert not driver.machine.has_expired_claims(driver.now_ms)
+
+
+def test_snapshot_of_an_unknown_shape_is_refused():
+    with pytest.raises(msgspec.MsgspecError):
+        StateMachine().restore_snapshot(b"\x90")
