--- a/src/wisteriaworks/assigner.py
+++ b/src/wisteriaworks/assigner.py
@@ -51,7 +51,9 @@
         # Server to the holding that its entry was asked to release. A request
         # stays until it is met, since heartbeats are rarer than steps.
         self._requested = {}
+        # The state for which nothing remains to be placed or balanced.
         self._placed_for = None
+        self._balanced_for = None
 
     async def run(self):
         """Run until cancelled."""
@@ -81,7 +83,7 @@
             self._term = leader.term
             self._sessions_changed_at = now
             self._requested = {}
-            self._placed_for = None
+            self._placed_for = self._balanced_for = None
         elif now - self._slept_from > FROZEN_S:
             leader.sessions.forgive(now)
 
@@ -115,7 +117,7 @@
             return
         given = self._describe(leader, holders, now)
         key = (machine.version, machine.revision, given.entries)
-        if given.max_moves == 0 and key == self._placed_for:
+        if key == (self._balanced_for if given.max_moves else self._placed_for):
             return
         wanted = place(given)
         self._request_releases(given, wanted)
@@ -125,6 +127,8 @@
             assigned = await self._node.propose(Assign(servers=servers))
             log_event(Event.SERVERS_ASSIGNED, count=len(assigned))
         self._placed_for = key
+        if given.max_moves and not self._requested:
+            self._balanced_for = key
 
     def _describe(self, leader, holders, now):
         machine = self._node.machine
--- a/src/wisteriaworks/placement.py
+++ b/src/wisteriaworks/placement.py
@@ -51,6 +51,9 @@
     shared_domain: int
 
 
+_NO_COST = _Cost(0, 0, 0)
+
+
 class _Board:
     """Hold a placement that is being changed."""
 
@@ -107,7 +110,7 @@
             self._compare(server, session, domain, other)
             for other in self._list_others(server)
         ]
-        return _Cost(*map(sum, zip(*pairs, strict=True))) if pairs else _Cost(0, 0, 0)
+        return _Cost(*map(sum, zip(*pairs, strict=True))) if pairs else _NO_COST
 
     def list_extremes(self):
         """Return the least and the most loaded entries of each domain."""
@@ -219,6 +222,8 @@
         holder = board.holders[server.name]
         if len(group) > 1 and holder in board.suitable:
             now = board.compute_cost(server, holder)
+            if now == _NO_COST:
+                continue
             cost, *_, session = board.choose(server)
             if cost < now:
                 yield cost, server.name, session
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,162 @@
+"""Guard against holders that share a loss, uneven load and needless moves."""
+
+import os
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from wisteriaworks.generated.document import Document, Index, Server
+from wisteriaworks.placement import (
+    EntryMode,
+    PlacementEntry,
+    PlacementInput,
+    list_replica_sets,
+    list_suitable,
+    place,
+)
+
+SOAK = int(os.environ.get("WISTERIA_SOAK", "1"))
+DOMAINS = "abcd"
+ACTIVE, RETIRING, SILENT = EntryMode
+
+
+def make_document(sets):
+    servers = tuple(
+        Server(
+            name=f"s{number}-{replica}",
+            address="127.0.0.1:1",
+            domain=domain,
+            replica_set=f"r{number}",
+            slots=2,
+            connections=4,
+        )
+        for number, domains in enumerate(sets)
+        for replica, domain in enumerate(domains)
+    )
+    return Document(indexes={"i": Index(servers=servers)} if servers else {})
+
+
+def make_entries(domains, mode=ACTIVE):
+    return tuple(PlacementEntry(n, d, mode) for n, d in enumerate(domains, 1))
+
+
+def place_from(document, entries, holders, moves=0, out=()):
+    return place(PlacementInput(document, entries, frozenset(out), holders, moves))
+
+
+def settle(document, entries, holders, moves=2):
+    """Return the holdings that stay, and the number of moves to get there."""
+    count = 0
+    while (wanted := place_from(document, entries, holders, moves)) != holders:
+        moved = sum(holders[name] != wanted[name] for name in wanted)
+        assert 0 < moved <= moves
+        count += moved
+        holders = dict(wanted)
+    return holders, count
+
+
+def list_loads(entries, holders):
+    loads = Counter(holders.values())
+    return [loads[entry.session] for entry in entries]
+
+
+SETS = st.lists(st.text(DOMAINS, min_size=1, max_size=3), max_size=12)
+ENTRIES = st.lists(
+    st.tuples(st.sampled_from(DOMAINS), st.sampled_from(EntryMode)), max_size=8
+)
+
+
+@settings(max_examples=100 * SOAK, deadline=None, derandomize=True)
+@given(SETS, ENTRIES, st.sets(st.sampled_from(DOMAINS), max_size=2), st.data())
+def test_any_input(sets, entries, out, data):
+    document = make_document(sets)
+    entries = tuple(PlacementEntry(n, *e) for n, e in enumerate(entries, 1))
+    names = [s.name for group in list_replica_sets(document) for s in group]
+    sessions = [0, *range(1, len(entries) + 1)]
+    holders = {name: data.draw(st.sampled_from(sessions)) for name in names}
+    holders = {name: session for name, session in holders.items() if session}
+    given_input = PlacementInput(document, entries, frozenset(out), holders, 0)
+    wanted = place(given_input)
+    assert wanted == place_from(document, entries[::-1], holders, out=out)
+    suitable = list_suitable(given_input)
+    silent = {e.session for e in entries if e.mode is SILENT and e.domain not in out}
+    if not suitable:
+        assert wanted == holders
+        return
+    assert wanted.keys() == set(names)
+    for name, session in wanted.items():
+        if holders.get(name) in suitable | silent:
+            assert session == holders[name]
+        else:
+            assert session in suitable
+
+
+@settings(max_examples=100 * SOAK, deadline=None, derandomize=True)
+@given(SETS, st.text(DOMAINS, min_size=1, max_size=8))
+def test_replicas_get_different_domains_or_else_entries(sets, domains):
+    document, entries = make_document(sets), make_entries(domains)
+    wanted = place_from(document, entries, {})
+    for group in list_replica_sets(document):
+        sessions = {wanted[server.name] for server in group}
+        used = {domains[session - 1] for session in sessions}
+        assert len(sessions) == min(len(group), len(entries))
+        assert len(used) == min(len(group), len(set(domains)))
+
+
+@pytest.mark.parametrize("domains", ["ab", "abcd", "aabbbcd"])
+def test_loss_of_a_domain_leaves_a_replica_and_its_holder(domains):
+    """A holder must not be in the domain of the other replica."""
+    sets = [a + b for a in domains for b in domains if a != b]
+    document, entries = make_document(sets), make_entries(domains)
+    wanted = place_from(document, entries, {})
+    for group in list_replica_sets(document):
+        for lost in domains:
+            alive = [
+                server
+                for server in group
+                if lost not in (server.domain, domains[wanted[server.name] - 1])
+            ]
+            assert alive
+
+
+def test_spread_is_restored_when_a_domain_returns():
+    document = make_document(["ab"] * 6)
+    alone, both = make_entries("a"), make_entries("ab")
+    holders = place_from(document, alone, {})
+    wanted, _ = settle(document, both, holders)
+    for group in list_replica_sets(document):
+        assert [wanted[server.name] for server in group] == [1, 2]
+
+
+def test_new_entry_receives_its_share_with_few_moves():
+    document = make_document(["ab", "bc", "cd", "da"] * 10)
+    seven = make_entries("abcdabc")
+    holders, _ = settle(document, seven, place_from(document, seven, {}))
+    wanted, moves = settle(document, make_entries("abcdabcd"), holders)
+    loads = list_loads(make_entries("abcdabcd"), wanted)
+    assert max(loads) - min(loads) <= 1
+    assert moves <= loads[-1] + 2
+
+
+def test_lost_entry_moves_only_its_own_servers():
+    document = make_document(["ab", "bc", "cd", "da"] * 10)
+    entries = make_entries("aabbccdd")
+    holders, _ = settle(document, entries, place_from(document, entries, {}))
+    left = {name: session for name, session in holders.items() if session != 1}
+    wanted = place_from(document, entries[1:], left)
+    assert {name: wanted[name] for name in left} == left
+    # Spread comes first, so the balance is exact only after a few moves.
+    loads = list_loads(entries[1:], wanted)
+    assert max(loads) - min(loads) <= 2
+    settled, _ = settle(document, entries[1:], wanted)
+    loads = list_loads(entries[1:], settled)
+    assert max(loads) - min(loads) <= 1
+
+
+def test_one_replica_of_a_set_moves_at_a_time():
+    document = make_document(["aa"] * 4)
+    holders = {s.name: 1 for group in list_replica_sets(document) for s in group}
+    wanted = place_from(document, make_entries("abc"), holders, moves=8)
+    for group in list_replica_sets(document):
+        assert sum(wanted[server.name] != 1 for server in group) == 1
