Ask the control members in rounds

Cause: the first version followed each hint, so two members that name each other during an election would have been asked without a pause, and a dead member was asked again in each round.

Tried: rounds that ask each member at most once, with a pause between them; a member that failed is asked again only when another names it, or when all failed.

Result: tests/test_control_client.py passes with silent, deposed and slow members.

--- a/src/wisteriaworks/control_client.py
+++ b/src/wisteriaworks/control_client.py
@@ -1,7 +1,6 @@
 """Call the control leader, whichever member it is."""
 
 import contextlib
-import itertools
 
 import trio
 
@@ -72,64 +71,78 @@
 
 
 class _Call:
-    """Try the members in turn until one answers as the leader."""
+    """Ask members until one answers as the leader.
+
+    A round asks each member at most once, so that members that name each
+    other during an election are not asked in a tight loop.
+    """
 
     def __init__(self, client, message, timeout_s):
         self._client = client
         self._message = message
         self._timeout_s = timeout_s
         self._deadline = trio.current_time() + timeout_s
-        self._members = itertools.cycle(client.addresses)
-        self._tries = 0
-        self._sent = False
+        self._rounds = 0
+        self._asked = set()
         self._failed = set()
+        self._sent = False
         self._reason = "no member was asked"
 
     async def run(self):
-        hint = self._client.leader
+        address = self._client.leader or self._client.addresses[0]
         while trio.current_time() < self._deadline:
-            address = hint or next(self._members)
             reply = await self._try(address)
             if reply is not None and not isinstance(reply, NotLeader):
                 self._client.leader = address
                 return reply
-            hint = self._choose_hint(address, reply)
-            if hint is None:
-                await self._pause()
+            if self._client.leader == address:
+                self._client.leader = None
+            address = await self._choose_next(reply.leader if reply else "")
         raise ControlError(self._describe(), sent=self._sent)
 
     async def _try(self, address):
         """Return the member's reply, or None if it did not answer."""
-        self._tries += 1
+        self._asked.add(address)
         channel = await self._client.get_channel(address)
         try:
-            return await channel.call(self._message, self._compute_try_s())
+            reply = await channel.call(self._message, self._compute_try_s())
         except RpcError as exc:
             self._sent = self._sent or exc.sent
             self._reason = exc.message
-            return None
-
-    def _choose_hint(self, address, reply):
-        if self._client.leader == address:
-            self._client.leader = None
-        if reply is None:
             self._failed.add(address)
             return None
+        self._failed.discard(address)
         self._reason = f"{address} does not lead"
-        # Followers name a leader that is gone until they elect another one.
-        if reply.leader in self._failed or reply.leader == address:
-            self._failed.discard(reply.leader)
-            return None
-        return reply.leader or None
+        return reply
 
-    async def _pause(self):
-        if self._tries % max(1, len(self._client.addresses)) == 0:
-            left_s = self._deadline - trio.current_time()
-            await trio.sleep(max(0.0, min(RETRY_PAUSE_S, left_s)))
+    async def _choose_next(self, hint):
+        # Followers name a leader that is gone until they elect another one.
+        if hint and hint not in self._asked:
+            return hint
+        left = self._list_left()
+        if not left:
+            await self._start_round()
+            left = self._list_left() or self._client.addresses
+        return left[0]
+
+    def _list_left(self):
+        """Return the members to ask in this round, the failed ones last.
+
+        While others answer, a failed member is asked only if they name it.
+        """
+        left = [a for a in self._client.addresses if a not in self._asked]
+        if self._rounds > 0 and self._failed < set(self._client.addresses):
+            return [a for a in left if a not in self._failed]
+        return sorted(left, key=lambda address: address in self._failed)
+
+    async def _start_round(self):
+        self._rounds += 1
+        self._asked.clear()
+        left_s = self._deadline - trio.current_time()
+        await trio.sleep(max(0.0, min(RETRY_PAUSE_S, left_s)))
 
     def _compute_try_s(self):
-        rounds = (self._tries - 1) // max(1, len(self._client.addresses))
-        wanted_s = FIRST_TRY_S * 2 ** min(rounds, 10)
+        wanted_s = FIRST_TRY_S * 2 ** min(self._rounds, 10)
         # ReadClaim is answered when the outcome is known, at the latest
         # after its own waiting time.
         wanted_s += getattr(self._message, "wait_s", 0.0)
--- /dev/null
+++ b/tests/test_control_client.py
@@ -0,0 +1,148 @@
+"""Guard against calls that a silent or deposed control member holds up."""
+
+import contextlib
+import functools
+
+import pytest
+import trio
+
+from wisteriaworks.control_client import FIRST_TRY_S, ControlClient
+from wisteriaworks.errors import ControlError
+from wisteriaworks.generated.messages import (
+    ClaimRecordReply,
+    NotLeader,
+    ReadClaim,
+    ReadStatus,
+)
+from wisteriaworks.generated.subqueries import Acknowledged
+from wisteriaworks.rpc import RpcServer
+
+NOBODY = "127.0.0.1:1"
+
+
+@pytest.fixture
+def clock(autojump_clock):
+    # Real sockets need real time before the clock may jump.
+    autojump_clock.autojump_threshold = 0.05
+    return autojump_clock
+
+
+class Member:
+    """Answer as one control member, and count the calls."""
+
+    def __init__(self, reply=None):
+        self.reply = reply or Acknowledged()
+        self.calls = 0
+        self.address = None
+
+    async def start(self, nursery):
+        handlers = {ReadStatus: self._answer, ReadClaim: self._wait}
+        serve = functools.partial(RpcServer(handlers).serve, "127.0.0.1:0")
+        self._note(await nursery.start(serve))
+        return self
+
+    async def start_silent(self, nursery):
+        serve = functools.partial(trio.serve_tcp, self._swallow, 0, host="127.0.0.1")
+        self._note(await nursery.start(serve))
+        return self
+
+    def _note(self, listeners):
+        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+    async def _answer(self, message, send):
+        self.calls += 1
+        return self.reply
+
+    async def _wait(self, message, send):
+        await trio.sleep(message.wait_s)
+        return ClaimRecordReply(record=None)
+
+    async def _swallow(self, stream):
+        self.calls += 1
+        await trio.sleep_forever()
+
+
+async def test_silent_leader_holds_a_call_up_for_one_try(clock, nursery):
+    """Calls after the first must not wait for the silent member at all."""
+    silent = await Member().start_silent(nursery)
+    leader = await Member().start(nursery)
+    async with ControlClient([silent.address, leader.address]) as client:
+        client.leader = silent.address
+        started_at = trio.current_time()
+        assert await client.call(ReadStatus(), 5.0) == Acknowledged()
+        assert trio.current_time() - started_at <= FIRST_TRY_S + 0.2
+        for _ in range(3):
+            await client.call(ReadStatus(), 5.0)
+    assert (silent.calls, leader.calls) == (1, 4)
+
+
+async def test_named_leader_outside_the_settings_is_found(clock, nursery):
+    leader = await Member().start(nursery)
+    follower = await Member(NotLeader(leader.address)).start(nursery)
+    async with ControlClient([NOBODY, follower.address]) as client:
+        for _ in range(3):
+            await client.call(ReadStatus(), 5.0)
+        assert client.leader == leader.address
+    assert (follower.calls, leader.calls) == (1, 3)
+
+
+async def test_members_that_name_each_other_are_not_asked_in_a_loop(clock, nursery):
+    one, two = [await Member().start(nursery) for _ in range(2)]
+    one.reply, two.reply = NotLeader(two.address), NotLeader(one.address)
+    async with ControlClient([one.address, two.address]) as client:
+        with pytest.raises(ControlError) as caught:
+            await client.call(ReadStatus(), 1.0)
+    assert caught.value.sent is False
+    assert one.calls + two.calls <= 30
+
+
+async def test_members_that_answer_are_asked_while_another_is_silent(clock, nursery):
+    """Until the others elect a leader, the dead one must not take the time."""
+    silent = await Member().start_silent(nursery)
+    follower = await Member(NotLeader("")).start(nursery)
+    async with ControlClient([silent.address, follower.address]) as client:
+        with pytest.raises(ControlError) as caught:
+            await client.call(ReadStatus(), 1.5)
+    assert caught.value.sent is True
+    assert (silent.calls, follower.calls > 5) == (1, True)
+
+
+async def test_slow_leader_is_given_more_time_in_later_rounds(clock, nursery):
+    slow = Member()
+
+    async def answer_late(message, send):
+        await trio.sleep(1.0)
+        return Acknowledged()
+
+    slow._answer = answer_late
+    await slow.start(nursery)
+    async with ControlClient([slow.address]) as client:
+        assert await client.call(ReadStatus(), 10.0) == Acknowledged()
+
+
+async def test_long_read_is_not_cut_by_the_time_of_one_try(clock, nursery):
+    leader = await Member().start(nursery)
+    async with ControlClient([leader.address]) as client:
+        reply = await client.call(ReadClaim("c", "id", 5.0), 10.0)
+    assert reply == ClaimRecordReply(record=None)
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+async def test_sent_says_whether_a_try_may_have_arrived(clock, nursery, is_silent):
+    member = await Member().start_silent(nursery)
+    address = member.address if is_silent else NOBODY
+    async with ControlClient([address]) as client:
+        with pytest.raises(ControlError) as caught:
+            await client.call(ReadStatus(), 0.5)
+    assert caught.value.sent is is_silent
+
+
+async def test_calls_at_once_share_one_connection(clock, nursery):
+    leader = await Member().start(nursery)
+    async with contextlib.AsyncExitStack() as stack:
+        client = await stack.enter_async_context(ControlClient([leader.address]))
+        async with trio.open_nursery() as calls:
+            for _ in range(5):
+                calls.start_soon(client.call, ReadStatus(), 5.0)
+        assert len(client._channels) == 1
+    assert leader.calls == 5
