Test the control program, its routes, sessions and list of VMs

Cause: a wrong answer of control reaches every entry.

Tried: the program in process over real connections, and once as a process that is ended by SIGTERM.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -16,7 +16,7 @@
 from wisteriaworks.assigner import Assigner
 from wisteriaworks.control_node import ControlNode
 from wisteriaworks.control_service import ControlService
-from wisteriaworks.errors import WisteriaError
+from wisteriaworks.errors import SettingsError, WisteriaError
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.settings import ControlSettings
 from wisteriaworks.logs import configure_logs
@@ -160,7 +160,11 @@
     def _run(self, cfg):
         configure_logs(cfg.log, PROGRAM, cfg.name)
         program = ControlProgram(cfg, create_metrics(PROGRAM, cfg.name))
-        return trio.run(functools.partial(run_until_signal, program))
+        try:
+            return trio.run(functools.partial(run_until_signal, program))
+        except* OSError as group:
+            reason = str(group.exceptions[0])
+        raise SettingsError(f"cannot serve: {reason}")
 
 
 def make_application():
--- a/src/wisteriaworks/leader_state.py
+++ b/src/wisteriaworks/leader_state.py
@@ -52,8 +52,11 @@
 
     def set_leaving(self, addresses):
         """Take over the addresses that the platform lists as leaving."""
-        if addresses != self._leaving:
-            self._leaving = addresses
+        if addresses is self._leaving:
+            return
+        is_changed = addresses != self._leaving
+        self._leaving = addresses
+        if is_changed:
             self._refresh(set(self._machine.servers))
 
     def list_changes(self, version, now):
--- a/src/wisteriaworks/platform_list.py
+++ b/src/wisteriaworks/platform_list.py
@@ -9,6 +9,7 @@
 POLL_INTERVAL_S = 1.0
 TIMEOUT_S = 2.0
 _LEAVING = "leaving"
+_OK = 200
 
 
 class _Vm(msgspec.Struct, frozen=True):
@@ -50,6 +51,8 @@
         while True:
             try:
                 reply = await pool.request("GET", url, extensions={"timeout": timeouts})
+                if reply.status != _OK:
+                    raise httpcore.ProtocolError(f"status {reply.status}")
                 on_leaving(parse_leaving(reply.content))
                 is_failing = False
             except _FAILURES as exc:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,7 +1,13 @@
 """Guard against a control member that answers entries or operators wrongly."""
 
+import contextlib
 import functools
 import hashlib
+import os
+import socket
+import sys
+from pathlib import Path
+from subprocess import PIPE
 
 import httpcore
 import msgspec
@@ -10,7 +16,7 @@
 import uuid_utils
 from cleo.testers.application_tester import ApplicationTester
 
-from wisteriaworks import control
+from wisteriaworks import assigner, control
 from wisteriaworks.admin import AdminApp, serve_http
 from wisteriaworks.control_client import ControlClient
 from wisteriaworks.errors import ControlError
@@ -43,6 +49,7 @@
 from wisteriaworks.metrics import create_unexported_metrics
 from wisteriaworks.single_replica import initialise_member
 
+SOURCE = Path(__file__).resolve().parent.parent / "src"
 DOMAINS = ("a", "b")
 DIGEST = hashlib.sha256(b"query").digest()
 
@@ -135,7 +142,9 @@
 
 
 @pytest.fixture
-async def start(cfg, nursery):
+async def start(cfg, nursery, monkeypatch):
+    monkeypatch.setattr(assigner, "FIRST_ASSIGN_QUIET_S", 0.2)
+
     async def start():
         program = control.ControlProgram(cfg, create_unexported_metrics())
         scope = trio.CancelScope()
@@ -204,7 +213,9 @@
     held = one.list_held()[0]
     ready = ServerReport(held.server, held.epoch, "i1", ServerState.READY, ())
     stale = ServerReport(held.server, held.epoch - 1, "i0", ServerState.DOWN, ())
-    await two.heartbeat(reports=(msgspec.structs.replace(ready, state=ServerState.DOWN),))
+    await two.heartbeat(
+        reports=(msgspec.structs.replace(ready, state=ServerState.DOWN),)
+    )
     await one.heartbeat(reports=(ready, stale))
     await beat_until(lambda: two.routes[held.server].state is ServerState.READY, two)
 
@@ -285,7 +296,7 @@
 
         async def read():
             with pytest.raises(ControlError):
-                await client.call(ReadClaim("caller", request_id, 30.0), 1.0)
+                await client.call(ReadClaim("caller", request_id, 30.0), 0.5)
 
         with trio.fail_after(10):
             async with trio.open_nursery() as nursery:
@@ -335,3 +346,33 @@
     path.write_bytes(msgspec.yaml.encode(cfg))
     tester = ApplicationTester(control.make_application())
     assert [tester.execute(f"init {path}") for _ in range(2)] == [0, 2]
+
+
+def list_free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+async def test_program_serves_until_sigterm(cfg, tmp_path):
+    """A planned stop must end the process with exit code 0."""
+    address, admin = (f"127.0.0.1:{port}" for port in list_free_ports(2))
+    cfg = msgspec.structs.replace(cfg, address=address, admin=admin)
+    path = tmp_path / "c1.yaml"
+    path.write_bytes(msgspec.yaml.encode(cfg))
+    initialise_member(cfg)
+    code = "from wisteriaworks.control import main; main()"
+    command = [sys.executable, "-c", code, "run", str(path)]
+    env = os.environ | {"PYTHONPATH": str(SOURCE)}
+    start = functools.partial(trio.run_process, command, env=env, stderr=PIPE)
+    with trio.fail_after(30):
+        async with trio.open_nursery() as nursery:
+            process = await nursery.start(start)
+            async with ControlClient([address]) as client:
+                status = await client.call(ReadStatus(), 20.0)
+            async with httpcore.AsyncConnectionPool() as pool:
+                ready = await pool.request("GET", f"http://{admin}/ready")
+            process.terminate()
+    assert (status.leader, ready.status, process.returncode) == (address, 200, 0)
