--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -17,7 +17,11 @@
 from wisteriaworks.assigner import Assigner
 from wisteriaworks.control_node import ControlNode
 from wisteriaworks.control_service import ControlService
-from wisteriaworks.errors import ProposalUnknownError, WisteriaError
+from wisteriaworks.errors import (
+    ProposalUnknownError,
+    SettingsError,
+    WisteriaError,
+)
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.settings import ControlSettings
 from wisteriaworks.log_store import LogStore, initialise
@@ -173,7 +177,13 @@
     def _run(self, cfg):
         configure_logs(cfg.log, PROGRAM, cfg.name)
         program = ControlProgram(cfg, create_metrics(PROGRAM, cfg.name))
-        return trio.run(functools.partial(run_until_signal, program))
+        try:
+            return trio.run(functools.partial(run_until_signal, program))
+        except* OSError as group:
+            reason = str(group.exceptions[0])
+        except* WisteriaError as group:
+            raise group.exceptions[0] from None
+        raise SettingsError(f"cannot serve: {reason}")
 
 
 def make_application():
