Simulate the replicated log under random faults

Cause: the safety of the log rests on interleavings that directed tests miss. The simulation loses, delays, repeats and reorders messages, cuts and freezes members, kills them with loss of what was not synced and empties disks; every effect is checked against what all members did before. Found and corrected by it: - A leader removed by its own uncommitted entry did not campaign, although its log was the newest, and no other member could win. It campaigns now, and does not count itself. - A change of members was accepted whose new list had no majority present, after which nothing could commit. It is refused now.

--- a/src/wisteriaworks/consensus.py
+++ b/src/wisteriaworks/consensus.py
@@ -107,7 +107,7 @@
         self._check_quorum(now)
         if self._leadership:
             self._leadership.tick(now)
-        elif now >= self._deadline and self._state.is_voter:
+        elif now >= self._deadline and self._state.may_campaign:
             self._start_prevote(now)
         self._finish_input()
 
@@ -304,16 +304,16 @@
 
     def _count_votes(self, now):
         membership = self._state.membership
-        granted = self._granted.intersection(membership.voters)
-        if len(granted) < membership.majority:
+        counted = self._granted.intersection(membership.voters)
+        if len(counted) < membership.majority:
             return
         if self._is_prevote:
             self._start_election(now)
-        elif self.id in granted:
-            self._lead(granted, now)
+        elif self.id in self._granted:
+            self._lead(now)
 
-    def _lead(self, granted, now):
-        contacts = dict.fromkeys(granted, self._asked_at)
+    def _lead(self, now):
+        contacts = dict.fromkeys(self._granted, self._asked_at)
         self._granted = None
         self._term_leader = self._leader_id = self.id
         self._leadership = Leadership(
--- a/src/wisteriaworks/leadership.py
+++ b/src/wisteriaworks/leadership.py
@@ -126,6 +126,7 @@
         if state.commit_index < state.membership.index:
             raise MembershipError("another change of members is under way")
         members = self._change_list(action, member_id, address)
+        self._check_majority(members, now)
         data = membership.encode_members(members)
         index = state.append_new(EntryKind.MEMBERS, data)
         self._refresh_peers()
@@ -201,6 +202,23 @@
         if acked is None or peer.match_index < acked.commit_index:
             raise MembershipError(f"{member_id} has not caught up")
 
+    def _check_majority(self, members, now):
+        """Refuse a list whose majority is not there to commit it.
+
+        Such a list could not be replaced any more, since that takes a majority
+        of it.
+        """
+        recent = now - self._timing.election_min_s
+        voters = [m.id for m in members if m.voter]
+        present = [v for v in voters if self._find_contact(v, now) > recent]
+        if len(present) <= len(voters) // 2:
+            raise MembershipError("too few voters of the new list answer")
+
+    def _find_contact(self, member_id, now):
+        if member_id == self._state.id:
+            return now
+        return self._peers[member_id].contact
+
     def _accept(self, peer, message):
         last_index = self._state.log.last_index
         check(message.match_index <= last_index, "no member has more than its leader")
--- a/src/wisteriaworks/member_state.py
+++ b/src/wisteriaworks/member_state.py
@@ -56,6 +56,18 @@
         """Say whether this member votes by the list in force."""
         return self.id in self.membership.voters
 
+    @property
+    def may_campaign(self):
+        """Say whether this member may become the leader.
+
+        A member whose removal may not be committed takes part, since it may be
+        the only one with the newest committed entries.
+        """
+        membership = self.membership
+        is_decided = membership.index <= self.commit_index
+        former = () if is_decided else membership.at(membership.index - 1)
+        return self.is_voter or any(m.voter and m.id == self.id for m in former)
+
     def send(self, recipient, message):
         """Send a message as soon as the term and vote it implies are durable."""
         if self.is_vote_synced:
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,129 @@
+"""Guard against lost or diverging entries, two leaders and false confirmations."""
+
+import os
+
+import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
+from log_simulation import Simulation
+
+from wisteriaworks import leadership
+
+SOAK = int(os.environ.get("WISTERIA_SOAK", "1"))
+MANY = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=40 * SOAK,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@pytest.fixture(autouse=True, scope="module")
+def _small_chunks():
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(leadership, "CHUNK_BYTES", 64)
+        yield
+
+
+def _pick(sim, target):
+    ids = sorted(sim.processes)
+    return ids[target % len(ids)]
+
+
+def _pick_leader(sim, target):
+    return sim.leaders[0].id if sim.leaders else _pick(sim, target)
+
+
+def _cut_one_way(sim, target):
+    sim.cuts.add((_pick(sim, target), _pick(sim, target // 7)))
+
+
+def _isolate(sim, target):
+    sim.isolate(_pick(sim, target))
+
+
+def _isolate_leader(sim, target):
+    sim.isolate(_pick_leader(sim, target))
+
+
+def _mend_cuts(sim, target):
+    sim.cuts.clear()
+
+
+def _freeze(sim, target):
+    process = sim.processes[_pick_leader(sim, target)]
+    process.frozen_until = sim.now + 0.1 * (target % 30)
+
+
+def _kill(sim, target):
+    process = sim.processes[_pick(sim, target)]
+    if process.is_alive:
+        process.kill()
+
+
+def _restart(sim, target):
+    sim.restart(_pick(sim, target))
+
+
+def _restart_all(sim, target):
+    for member_id in list(sim.processes):
+        sim.restart(member_id)
+
+
+def _lose_disk(sim, target):
+    member_id = _pick(sim, target)
+    if sim.may_lose(member_id):
+        sim.lose_disk(member_id)
+
+
+def _change_desired(sim, target):
+    member_id = _pick(sim, target)
+    if member_id not in sim.desired:
+        sim.desired.add(member_id)
+    elif len(sim.desired) > 2:
+        sim.desired.discard(member_id)
+
+
+def _lose_messages(sim, target):
+    sim.loss = (target % 4) * 0.1
+
+
+def _propose_many(sim, target):
+    for _ in range(target % 20):
+        sim.propose()
+
+
+FAULTS = (
+    _cut_one_way,
+    _isolate,
+    _isolate_leader,
+    _mend_cuts,
+    _freeze,
+    _kill,
+    _restart,
+    _restart_all,
+    _lose_disk,
+    _change_desired,
+    _lose_messages,
+    _propose_many,
+)
+_STEP = st.tuples(
+    st.sampled_from(FAULTS),
+    st.integers(0, 1000),
+    st.sampled_from((0.0, 0.03, 0.3, 1.2, 2.5)),
+)
+
+
+@MANY
+@given(
+    seed=st.integers(0, 2**32),
+    count=st.integers(3, 5),
+    steps=st.lists(_STEP, min_size=5, max_size=25),
+)
+def test_any_faults_keep_the_log_safe_and_end_in_recovery(seed, count, steps):
+    sim = Simulation(seed, count)
+    sim.run(2.5)
+    for fault, target, duration in steps:
+        fault(sim, target)
+        sim.run(duration)
+    sim.check_recovery()
