--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -127,3 +127,63 @@
         fault(sim, target)
         sim.run(duration)
     sim.check_recovery()
+
+
+@pytest.mark.parametrize("seed", range(5 * SOAK))
+@pytest.mark.parametrize("count", [3, 5])
+def test_isolated_leader_steps_down_before_another_is_elected(seed, count):
+    sim = Simulation(seed, count)
+    sim.run_until(lambda: sim.leaders)
+    sim.run(1.0)
+    old = sim.leaders[0]
+    sim.isolate(old.id)
+    sim.run_until(lambda: any(leader is not old for leader in sim.leaders))
+    assert not old.consensus.is_leader
+
+
+@pytest.mark.parametrize("seed", range(5 * SOAK))
+def test_member_that_was_cut_off_does_not_depose_the_leader(seed):
+    sim = Simulation(seed, 3)
+    sim.run_until(lambda: sim.leaders)
+    leader = sim.leaders[0]
+    term = leader.consensus.term
+    other = next(id for id in sim.processes if id != leader.id)
+    sim.isolate(other)
+    sim.run(5.0)
+    sim.heal()
+    sim.run(3.0)
+    assert leader.consensus.is_leader
+    assert leader.consensus.term == term
+
+
+@pytest.mark.parametrize("seed", range(5 * SOAK))
+def test_nothing_is_lost_with_a_second_member_right_after_a_repair(seed):
+    sim = Simulation(seed, 3)
+    sim.run(3.0)
+    first, second, third = sorted(sim.processes)
+    replacement = sim.lose_disk(first)
+    sim.run_until(lambda: sim.is_repaired)
+    committed = list(sim.committed)
+    sim.lose_disk(second)
+    sim.run_until(lambda: len(sim.committed) > len(committed) + 5)
+    assert sim.committed[: len(committed)] == committed
+    assert sim.leaders[0].id in (replacement, third)
+    sim.check_recovery()
+
+
+def test_frozen_leader_is_not_confirmed_by_replies_from_before():
+    sim = Simulation(1, 3)
+    sim.run_until(lambda: sim.leaders)
+    sim.run(1.0)
+    old = sim.leaders[0]
+    old.call(old.confirm)
+    token = max(old.confirmations)
+    old.frozen_until = sim.now + 6.0
+    sim.run(5.0)
+    assert [p for p in sim.leaders if p is not old]
+    confirmed = sim.confirmed
+    sim.cuts |= {(id, other) for id in sim.processes for other in sim.processes}
+    sim.run(1.5)
+    assert token not in old.confirmations
+    assert sim.confirmed == confirmed
+    assert not old.consensus.is_leader
--- /dev/null
+++ b/tests/test_consensus_rules.py
@@ -0,0 +1,226 @@
+"""Guard against broken rules of the replicated log, one member at a time."""
+
+import random
+
+import pytest
+
+from wisteriaworks.consensus import Consensus, Timing
+from wisteriaworks.consensus_log import StoredState
+from wisteriaworks.effects import ConfirmationDone, SendMessage
+from wisteriaworks.errors import InvariantError, MembershipError
+from wisteriaworks.generated.consensus import (
+    AppendEntries,
+    AppendReply,
+    EntryKind,
+    LogEntry,
+    Member,
+    PreVoteReply,
+    RequestVote,
+    VoteReply,
+)
+from wisteriaworks.generated.messages import MemberAction
+from wisteriaworks.membership import encode_members
+
+MEMBERS = tuple(Member(id=id, address=id, voter=True) for id in "abc")
+FIRST = LogEntry(index=1, term=1, kind=EntryKind.MEMBERS, data=encode_members(MEMBERS))
+
+
+class Driver:
+    """Give inputs to member ``a`` of three; disk notices come when asked for."""
+
+    def __init__(self, entries=(FIRST,), term=1):
+        stored = StoredState(term=term, entries=entries)
+        self.now = 0.0
+        self.consensus = Consensus("a", stored, Timing(), random.Random(0), 0.0)
+        self.sent = []
+        self.sequence = 0
+
+    def collect(self):
+        """Return the messages sent since the last call."""
+        for effect in self.consensus.take_effects():
+            self.sequence = getattr(effect, "sequence", self.sequence)
+            if isinstance(effect, SendMessage):
+                self.sent.append(effect.message)
+        sent, self.sent = self.sent, []
+        return sent
+
+    def receive(self, message):
+        self.consensus.receive(message, self.now)
+        return self.collect()
+
+    def sync(self):
+        self.collect()
+        self.consensus.handle_synced(self.sequence, self.now)
+        return self.collect()
+
+    def lead(self):
+        """Become the leader of the next term."""
+        self.now += 2.5
+        self.consensus.tick(self.now)
+        term = self.consensus.term + 1
+        self.receive(PreVoteReply(term=term, sender="b", granted=True))
+        self.receive(VoteReply(term=term, sender="b", granted=True))
+        assert not self.consensus.is_leader, "its own vote is not synced"
+        sent = self.sync()
+        assert self.consensus.is_leader
+        return sent
+
+    def acknowledge(self, sender, index, number=1):
+        return self.receive(
+            AppendReply(
+                term=self.consensus.term,
+                sender=sender,
+                round=number,
+                accepted=True,
+                match_index=index,
+                received_index=index,
+            )
+        )
+
+
+def _make_append(entries, term=2, previous=1, commit=0):
+    return AppendEntries(
+        term=term,
+        sender="b",
+        round=1,
+        previous_index=previous,
+        previous_term=1,
+        commit_index=commit,
+        entries=entries,
+    )
+
+
+def _make_entry(index, term=2):
+    return LogEntry(index=index, term=term, kind=EntryKind.COMMAND, data=b"x")
+
+
+def test_follower_acknowledges_only_what_it_has_synced():
+    driver = Driver(term=2)
+    (reply,) = driver.receive(_make_append((_make_entry(2),)))
+    assert (reply.match_index, reply.received_index) == (1, 2)
+    (reply,) = driver.sync()
+    assert reply.match_index == 2
+
+
+def test_follower_does_not_acknowledge_a_write_that_was_truncated_meanwhile():
+    driver = Driver(term=2)
+    driver.receive(_make_append((_make_entry(2), _make_entry(3))))
+    driver.collect()
+    written = driver.sequence
+    driver.receive(_make_append((_make_entry(2, term=3),), term=3))
+    driver.consensus.handle_synced(written, driver.now)
+    replies = driver.collect()
+    assert all(reply.match_index == 1 for reply in replies)
+
+
+def test_vote_is_sent_only_after_it_is_persisted():
+    driver = Driver()
+    driver.now = 1.5
+    vote = RequestVote(term=2, sender="b", last_index=1, last_term=1)
+    assert driver.receive(vote) == []
+    (reply,) = driver.sync()
+    assert reply.granted
+
+
+def test_voter_that_just_restarted_refuses_votes():
+    """It may have answered a leader before, which still counts on that."""
+    driver = Driver()
+    driver.now = 0.9
+    vote = RequestVote(term=2, sender="b", last_index=1, last_term=1)
+    assert driver.receive(vote) + driver.sync() == []
+    assert driver.consensus.term == 1
+
+
+def test_leader_counts_its_own_entry_only_after_its_sync():
+    driver = Driver()
+    driver.lead()
+    driver.acknowledge("b", 2)
+    assert driver.consensus.commit_index == 0
+    driver.sync()
+    assert driver.consensus.commit_index == 2
+
+
+def test_entries_of_earlier_terms_are_not_committed_by_counting():
+    driver = Driver((FIRST, _make_entry(2)), term=2)
+    driver.lead()
+    driver.sync()
+    driver.acknowledge("b", 2)
+    assert driver.consensus.commit_index == 0
+    driver.acknowledge("b", 3)
+    assert driver.consensus.commit_index == 3
+
+
+@pytest.mark.parametrize(
+    ("size", "count", "expected"), [(10, 600, 256), (300_000, 9, 3), (2_000_000, 3, 1)]
+)
+def test_one_message_stays_small(size, count, expected):
+    driver = Driver()
+    driver.lead()
+    for _ in range(count):
+        driver.consensus.propose(b"x" * size, driver.now)
+    driver.sync()
+    sent = driver.acknowledge("b", 2)
+    assert max(len(m.entries) for m in sent) == expected
+
+
+def test_confirmation_needs_a_round_that_began_after_it():
+    driver = Driver()
+    driver.lead()
+    driver.sync()
+    driver.acknowledge("b", 2, number=1)
+    token = driver.consensus.confirm(driver.now)
+    later = driver.consensus.confirm(driver.now)
+    driver.collect()
+    for number, done in ((1, None), (2, token), (3, later)):
+        reply = AppendReply(
+            term=2,
+            sender="c",
+            round=number,
+            accepted=True,
+            match_index=1,
+            received_index=1,
+        )
+        driver.consensus.receive(reply, driver.now)
+        effects = driver.consensus.take_effects()
+        tokens = [e.token for e in effects if isinstance(e, ConfirmationDone)]
+        assert tokens == [done] * (done is not None)
+
+
+def test_members_change_one_at_a_time_after_the_leader_committed():
+    driver = Driver()
+    driver.lead()
+    change = driver.consensus.change_members
+    with pytest.raises(MembershipError, match="has not committed"):
+        change(MemberAction.ADD_LEARNER, "d", "d", driver.now)
+    driver.sync()
+    driver.acknowledge("b", 2)
+    change(MemberAction.ADD_LEARNER, "d", "d", driver.now)
+    with pytest.raises(MembershipError, match="under way"):
+        change(MemberAction.REMOVE, "c", "", driver.now)
+    driver.sync()
+    driver.acknowledge("b", 3)
+    with pytest.raises(MembershipError, match="caught up"):
+        change(MemberAction.PROMOTE, "d", "", driver.now)
+    driver.now += 0.2
+    driver.consensus.tick(driver.now)
+    driver.acknowledge("d", 2, number=2)
+    with pytest.raises(MembershipError, match="caught up"):
+        change(MemberAction.PROMOTE, "d", "", driver.now)
+    driver.acknowledge("d", 3, number=2)
+    change(MemberAction.PROMOTE, "d", "", driver.now)
+
+
+def test_a_list_without_a_present_majority_is_refused():
+    driver = Driver()
+    driver.lead()
+    driver.sync()
+    driver.acknowledge("b", 2)
+    with pytest.raises(MembershipError, match="too few"):
+        driver.consensus.change_members(MemberAction.REMOVE, "b", "", driver.now)
+
+
+def test_two_leaders_in_a_term_stop_the_member():
+    driver = Driver()
+    driver.lead()
+    with pytest.raises(InvariantError):
+        driver.receive(_make_append((), term=2))
