--- /dev/null
+++ b/src/wisteriaworks/backend_client.py
@@ -0,0 +1,275 @@
+"""Speak the backend servers' HTTP protocol; the one place that knows it."""
+
+import contextlib
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+import h11
+import httpcore
+import msgspec
+import trio
+
+from wisteriaworks import backend_protocol as protocol
+from wisteriaworks.generated.subqueries import SubqueryOutcome
+from wisteriaworks.rpc import split_address
+
+READ_BYTES = 65536
+# A server that has seen the end of the request's stream closes its own side.
+# Until then the cancelled work may still occupy a slot.
+CANCEL_SETTLE_S = 0.05
+OK_STATUS = 200
+_REFUSALS = {
+    (409, "snapshot_gone"): SubqueryOutcome.SNAPSHOT_GONE,
+    (503, "shedding"): SubqueryOutcome.SHED,
+    (503, "draining"): SubqueryOutcome.DRAINING,
+    (503, "cold"): SubqueryOutcome.COLD,
+}
+NOT_RUN_REFUSALS = frozenset(
+    {SubqueryOutcome.SHED, SubqueryOutcome.DRAINING, SubqueryOutcome.COLD}
+)
+_ENCODER = msgspec.json.Encoder()
+_DECODE_ANSWER = msgspec.json.Decoder(protocol.AnswerBody).decode
+_DECODE_REFUSAL = msgspec.json.Decoder(protocol.RefusalBody).decode
+_DECODE_STATUS = msgspec.json.Decoder(protocol.StatusBody).decode
+_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.ConnectionNotAvailable,
+    h11.ProtocolError,
+    msgspec.MsgspecError,
+    OSError,
+)
+
+
+class SendRefusedError(Exception):
+    """Report that the last check before a send failed."""
+
+    def __init__(self, outcome):
+        super().__init__(outcome.value)
+        self.outcome = outcome
+
+
+class End(Enum):
+    """Say how one exchange with a server ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Hold the end of one sub-query on one connection.
+
+    ``sent`` is false only when no byte left, or a refusal proves that the
+    sub-query did not run.
+    """
+
+    end: End
+    outcome: SubqueryOutcome
+    sent: bool
+    snapshot: int = 0
+    incarnation: str = ""
+    results: bytes = b""
+    detail: str = ""
+
+
+class BackendStream(httpcore.AsyncNetworkStream):
+    """Carry one connection; note when bytes leave and when they arrive.
+
+    Writes are held back until the first read, so that head and body of a
+    request leave in one segment, right after the last check.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._pending = []
+        self.check = None
+        # Set once a byte of the current request may have left.
+        self.sent = False
+        self.unanswered = False
+        self.heard_at = -math.inf
+        self._closed = False
+
+    async def read(self, max_bytes, timeout=None):
+        """Send what is pending, then return received bytes."""
+        if self._pending:
+            await self._flush()
+        try:
+            data = await self._stream.receive_some(max_bytes)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise httpcore.ReadError(str(exc)) from exc
+        self.heard_at = trio.current_time()
+        return data
+
+    async def write(self, buffer, timeout=None):
+        """Hold bytes back until the next read."""
+        self._pending.append(buffer)
+
+    async def aclose(self):
+        """Close; end unanswered work at the server first."""
+        if self._closed:
+            return
+        self._closed = True
+        if self.unanswered:
+            with trio.move_on_after(CANCEL_SETTLE_S, shield=True):
+                await self._end_work()
+        await trio.aclose_forcefully(self._stream)
+
+    async def abort(self):
+        """Close at once, also while another task reads."""
+        self._closed = True
+        await trio.aclose_forcefully(self._stream)
+
+    def get_extra_info(self, info):
+        """Return what httpcore asks of the socket."""
+        if info == "is_readable":
+            return self._stream.socket.is_readable()
+        return None
+
+    async def _flush(self):
+        data = b"".join(self._pending)
+        self._pending.clear()
+        if self.check is not None:
+            self.check()
+        self.sent = self.unanswered = True
+        # A server may refuse and close before it has read everything; its
+        # reply is still there to be read.
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self._stream.send_all(data)
+
+    async def _end_work(self):
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(READ_BYTES):
+                pass
+
+
+class BackendConnection:
+    """Exchange one request at a time with one server."""
+
+    def __init__(self, address, stream):
+        host, port = split_address(address)
+        host = host.encode()
+        self._origin = httpcore.Origin(b"http", host, port)
+        self._host = (b"Host", b"%s:%d" % (host, port))
+        self._stream = BackendStream(stream)
+        self._http = httpcore.AsyncHTTP11Connection(self._origin, self._stream)
+        self.opened_at = self.idle_since = trio.current_time()
+        self.requests = 0
+        # A suspect's request is broken off; a non-idempotent one never is.
+        self.protected = False
+
+    @property
+    def heard_at(self):
+        """Return when the last byte arrived (seconds); -inf if none has."""
+        return self._stream.heard_at
+
+    @property
+    def is_usable(self):
+        """Say whether the connection is idle and not closed by the server."""
+        if self.requests and not self._http.is_idle():
+            return False
+        return not self._stream.get_extra_info("is_readable")
+
+    async def run_subquery(self, body, check):
+        """Return the Result of one sub-query; ``check`` runs right before it leaves.
+
+        ``check`` raises SendRefusedError. Cancelling closes the connection.
+        """
+        self._stream.check = check
+        try:
+            status, data = await self._exchange(
+                b"POST", protocol.SUBQUERY_TARGET, _ENCODER.encode(body)
+            )
+            return _read_result(status, data, body)
+        except SendRefusedError as exc:
+            return Result(End.NOT_SENT, exc.outcome, sent=False)
+        except _ERRORS as exc:
+            end = End.BROKEN if self._stream.sent else End.NOT_SENT
+            failed = SubqueryOutcome.FAILED
+            return Result(end, failed, self._stream.sent, detail=repr(exc))
+        finally:
+            self._stream.check = None
+
+    async def read_status(self):
+        """Return the server's StatusBody, or None if there is none."""
+        try:
+            status, data = await self._exchange(b"GET", protocol.STATUS_TARGET, b"")
+            return _DECODE_STATUS(data) if status == OK_STATUS else None
+        except _ERRORS:
+            return None
+
+    @property
+    def has_sent(self):
+        """Say whether a byte of the current request may have left."""
+        return self._stream.sent
+
+    async def aclose(self):
+        """Close the connection, which cancels its request at the server."""
+        await self._http.aclose()
+
+    async def abort(self):
+        """Close the connection under the task that uses it."""
+        await self._stream.abort()
+
+    async def _exchange(self, method, target, content):
+        self.requests += 1
+        self._stream.sent = False
+        res = await self._http.handle_async_request(
+            self._make_request(method, target, content)
+        )
+        data = await res.aread()
+        self._stream.unanswered = False
+        await res.aclose()
+        self.idle_since = trio.current_time()
+        return res.status, data
+
+    def _make_request(self, method, target, content):
+        headers = [self._host]
+        if content:
+            headers.append((b"Content-Length", b"%d" % len(content)))
+        url = httpcore.URL(
+            scheme=b"http",
+            host=self._origin.host,
+            port=self._origin.port,
+            target=target,
+        )
+        return httpcore.Request(method, url, headers=headers, content=content)
+
+
+async def open_connection(address):
+    """Return a new connection. Raises OSError."""
+    host, port = split_address(address)
+    return BackendConnection(address, await trio.open_tcp_stream(host, port))
+
+
+def _read_result(status, data, body):
+    if status == OK_STATUS:
+        answer = _DECODE_ANSWER(data)
+        if answer.shard != body.shard:
+            return _fail(f"answer for shard {answer.shard}")
+        return Result(
+            End.ANSWERED,
+            SubqueryOutcome.ANSWERED,
+            sent=True,
+            snapshot=answer.snapshot,
+            incarnation=answer.incarnation,
+            results=bytes(answer.results),
+        )
+    refusal = _DECODE_REFUSAL(data)
+    outcome = _REFUSALS.get((status, refusal.reason), SubqueryOutcome.FAILED)
+    return Result(
+        End.REFUSED,
+        outcome,
+        sent=outcome not in NOT_RUN_REFUSALS,
+        incarnation=refusal.incarnation,
+        detail=f"{status} {refusal.reason}",
+    )
+
+
+def _fail(detail):
+    return Result(End.REFUSED, SubqueryOutcome.FAILED, sent=True, detail=detail)
--- /dev/null
+++ b/src/wisteriaworks/held_server.py
@@ -0,0 +1,369 @@
+"""Queue and send the sub-queries of one held server."""
+
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from wisteriaworks import backend_protocol as protocol
+from wisteriaworks.backend_client import End, SendRefusedError
+from wisteriaworks.connection_pool import ConnectFailedError, ConnectionPool
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.messages import ServerReport
+from wisteriaworks.generated.subqueries import (
+    SubqueryBatch,
+    SubqueryItem,
+    SubqueryOutcome,
+    SubqueryReply,
+)
+from wisteriaworks.ramp import Ramp
+from wisteriaworks.server_status import ServerStatus
+
+QUEUE_PER_SLOT = 16
+# A request without a byte for this long makes its connection suspect. The
+# factor leaves room for stragglers of 20 times the normal service time.
+PROGRESS_FACTOR = 40.0
+MIN_PROGRESS_S = 0.3
+MAX_PROGRESS_S = 2.0
+STATUS_INTERVAL_S = 1.0
+STATUS_TIMEOUT_S = 0.5
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.0
+_RESETTING = frozenset({SubqueryOutcome.SHED, SubqueryOutcome.COLD})
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """Hold one attempt from its arrival to its reply."""
+
+    batch: SubqueryBatch
+    item: SubqueryItem
+    deadline: float
+    send: Callable
+    on_done: Callable
+    scope: trio.CancelScope | None = None
+    conn: object = None
+    began_at: float = 0.0
+    done: bool = False
+
+    @property
+    def sent(self):
+        """Say whether a byte may have left."""
+        return self.conn is not None and self.conn.has_sent
+
+    def reply(self, outcome, sent, **fields):
+        """Answer the attempt; only the first answer counts."""
+        if self.done:
+            return
+        self.done = True
+        self.send(SubqueryReply(self.item.attempt, outcome, sent, **fields))
+        self.on_done(self)
+
+    def abandon(self, outcome, detail):
+        """Answer now and stop the work, but let a non-idempotent send finish."""
+        sent = self.sent
+        self.reply(outcome, sent, detail=detail)
+        if self.scope is not None and (self.batch.idempotent or not sent):
+            self.scope.cancel()
+
+
+class HeldServer:
+    """Send to one server under one epoch.
+
+    ``check()`` returns the outcome that forbids sending now, or None.
+    """
+
+    def __init__(self, server, epoch, check, rng):
+        self.server = server
+        self.epoch = epoch
+        self.status = ServerStatus()
+        self.ramp = Ramp(server.slots)
+        self.outstanding = 0
+        self.accepting = True
+        self.finished = trio.Event()
+        self._check = check
+        self._queue = collections.deque()
+        self._parked = trio.lowlevel.ParkingLot()
+        self._pool = ConnectionPool(server.address, server.connections, self.ramp, rng)
+        self._rng = rng
+        self._scope = trio.CancelScope()
+        self._backoff_s = 0.0
+        self._down_until = -1.0
+        self._last_report = None
+
+    @property
+    def load(self):
+        """Return the number of sub-queries outstanding and queued."""
+        return self.outstanding + len(self._queue)
+
+    def submit(self, work):
+        """Queue an attempt, or refuse it at once."""
+        now = trio.current_time()
+        refusal = self._find_refusal(work, now) or self._find_overload(work, now)
+        if refusal is not None:
+            work.reply(refusal, sent=False, load=self.load)
+            return
+        self._queue.append(work)
+        self._parked.unpark()
+
+    def refuse_queued(self, outcome):
+        """Answer everything that waits."""
+        while self._queue:
+            self._queue.popleft().reply(outcome, sent=False)
+
+    def drop_finished(self):
+        """Take answered work out of the queue."""
+        if any(work.done for work in self._queue):
+            self._queue = collections.deque(w for w in self._queue if not w.done)
+
+    async def run(self, earlier=()):
+        """Run the workers, the connections and the status polls until closed.
+
+        Starts when the ``earlier`` holdings of the same server have finished,
+        so that their work and this one's never add up at the server.
+        """
+        for held in earlier:
+            await held.finished.wait()
+        log_event(Event.SERVER_HELD, server=self.server.name, epoch=self.epoch)
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._pool.run)
+                    nursery.start_soon(self._poll_status)
+                    for _ in range(self.server.slots):
+                        nursery.start_soon(self._run_worker)
+        finally:
+            self.refuse_queued(SubqueryOutcome.NOT_HOLDER)
+            self.finished.set()
+            log_event(Event.SERVER_RELEASED, server=self.server.name, epoch=self.epoch)
+
+    async def close(self, timeout_s):
+        """Finish accepted work within a bound, then close the connections."""
+        self.accepting = False
+        with trio.move_on_after(timeout_s):
+            while self.load:
+                await trio.sleep(0.005)
+        self._scope.cancel()
+        await self.finished.wait()
+
+    def collect_report(self, full):
+        """Return the ServerReport if it changed or ``full`` is set, else None."""
+        report = ServerReport(
+            server=self.server.name,
+            epoch=self.epoch,
+            incarnation=self.status.incarnation,
+            state=self.status.describe(self.ramp.is_warm),
+            snapshots=self.status.snapshots,
+        )
+        if report == self._last_report and not full:
+            return None
+        self._last_report = report
+        return report
+
+    def _find_refusal(self, work, now):
+        if not self.accepting:
+            return SubqueryOutcome.NOT_HOLDER
+        return self._find_block(now) or self._find_lateness(work, now)
+
+    def _find_block(self, now):
+        forbidden = self._check()
+        if forbidden is not None:
+            return forbidden
+        if self.status.is_draining:
+            return SubqueryOutcome.DRAINING
+        if now < self._down_until:
+            return SubqueryOutcome.FAILED
+        return None
+
+    def _find_lateness(self, work, now):
+        left_s = work.deadline - now
+        if left_s <= self.ramp.baseline_s:
+            return SubqueryOutcome.TIMED_OUT
+        return None
+
+    def _find_overload(self, work, now):
+        if len(self._queue) >= QUEUE_PER_SLOT * self.server.slots:
+            return SubqueryOutcome.QUEUE_FULL
+        rounds = self.load // self.ramp.limit + 1
+        if rounds * self.ramp.baseline_s > work.deadline - now:
+            return SubqueryOutcome.QUEUE_FULL
+        return None
+
+    async def _run_worker(self):
+        while True:
+            work, permit = self._take()
+            if work is None:
+                await self._parked.park()
+                continue
+            self.outstanding += 1
+            try:
+                await self._run_work(work, permit)
+            finally:
+                work.reply(SubqueryOutcome.FAILED, work.sent, detail="closed")
+                self.outstanding -= 1
+                self._parked.unpark_all()
+
+    def _take(self):
+        now = trio.current_time()
+        while self._queue:
+            work = self._queue[0]
+            refusal = None if work.done else self._find_queued_refusal(work, now)
+            if work.done or refusal is not None:
+                self._queue.popleft()
+                work.reply(refusal, sent=False, load=self.load)
+                continue
+            permit = self.ramp.take_permit(self.outstanding)
+            if permit is not None:
+                self._queue.popleft()
+            return (work if permit else None), permit
+        return None, None
+
+    def _find_queued_refusal(self, work, now):
+        return self._find_block(now) or self._find_lateness(work, now)
+
+    async def _run_work(self, work, permit):
+        with trio.CancelScope(deadline=work.deadline) as work.scope:
+            try:
+                work.conn = await self._pool.acquire(fresh=not work.batch.idempotent)
+            except ConnectFailedError as exc:
+                self._note_unreachable(work, exc)
+                return
+            await self._exchange(work, permit)
+        # Both replies do nothing if the attempt was answered.
+        work.reply(SubqueryOutcome.TIMED_OUT, work.sent, load=self.load)
+
+    async def _exchange(self, work, permit):
+        work.began_at = trio.current_time()
+        conn, result = work.conn, None
+        limit_s = self._progress_limit_s()
+        scope = trio.CancelScope()
+        if work.batch.idempotent:
+            scope.deadline = work.began_at + limit_s
+        try:
+            with scope:
+                result = await conn.run_subquery(
+                    self._make_body(work), lambda: self._check_send(work, permit)
+                )
+        finally:
+            self._note_silence(work, conn, result, limit_s)
+            with trio.CancelScope(shield=True):
+                await self._pool.release(conn)
+        if result is None:
+            self._reset_ramp("no progress")
+            work.reply(SubqueryOutcome.FAILED, conn.has_sent, detail="no progress")
+        else:
+            self._note_result(work, permit, result)
+
+    def _make_body(self, work):
+        batch, item = work.batch, work.item
+        left_s = work.deadline - work.began_at
+        return protocol.SubqueryBody(
+            query=msgspec.Raw(batch.query),
+            shard=item.shard,
+            snapshot=batch.snapshot,
+            timeout_ms=round(left_s * 1000.0, 3),
+            request=f"{batch.request_id}/{batch.batch_id}/{item.attempt}",
+        )
+
+    def _check_send(self, work, permit):
+        forbidden = self._find_block(trio.current_time())
+        if forbidden is None and not self.ramp.is_current(permit):
+            forbidden = SubqueryOutcome.SHED
+        if forbidden is not None:
+            raise SendRefusedError(forbidden)
+        assert not work.done
+        assert self.outstanding <= self.ramp.limit <= self.server.slots
+        assert not self.status.is_draining
+
+    def _progress_limit_s(self):
+        scaled_s = PROGRESS_FACTOR * self.ramp.baseline_s or MAX_PROGRESS_S
+        return min(max(scaled_s, MIN_PROGRESS_S), MAX_PROGRESS_S)
+
+    def _note_silence(self, work, conn, result, limit_s):
+        is_answered = result is not None and result.end is not End.BROKEN
+        if not is_answered and conn.has_sent and conn.heard_at < work.began_at:
+            self._pool.note_unanswered(work.began_at, limit_s)
+
+    def _note_result(self, work, permit, result):
+        self._note_incarnation(self.status.note_incarnation(result.incarnation))
+        latency_s = trio.current_time() - work.began_at
+        match result.end:
+            case End.ANSWERED:
+                self._note_reachable()
+                if self.ramp.record_success(permit, latency_s):
+                    self._log_reset("latency")
+            case End.BROKEN:
+                self._reset_ramp("connection broken")
+            case End.REFUSED:
+                self._note_refusal(result)
+        work.reply(
+            result.outcome,
+            result.sent,
+            snapshot=result.snapshot,
+            load=self.load - 1,
+            service_ms=latency_s * 1000.0,
+            results=result.results,
+            detail=result.detail,
+        )
+
+    def _note_refusal(self, result):
+        if result.outcome in _RESETTING:
+            self._reset_ramp(result.detail)
+        elif result.outcome is SubqueryOutcome.DRAINING:
+            self.status.note_drain(result.incarnation)
+            self._log_state()
+
+    def _note_incarnation(self, replaced):
+        if replaced:
+            self._reset_ramp("new incarnation")
+            self._log_state()
+
+    def _note_unreachable(self, work, exc):
+        doubled_s = max(2.0 * self._backoff_s, MIN_BACKOFF_S)
+        self._backoff_s = min(doubled_s, MAX_BACKOFF_S)
+        self._down_until = trio.current_time() + self._backoff_s
+        self._reset_ramp("connection refused")
+        if not self.status.is_down:
+            self.status.is_down = True
+            self._log_state()
+        work.reply(SubqueryOutcome.FAILED, sent=False, detail=str(exc))
+
+    def _note_reachable(self):
+        self._backoff_s = 0.0
+        self._down_until = -1.0
+        self.status.is_down = False
+
+    def _reset_ramp(self, reason):
+        self.ramp.reset()
+        self._log_reset(reason)
+
+    def _log_reset(self, reason):
+        log_event(Event.SERVER_RAMP_RESET, server=self.server.name, reason=reason)
+
+    def _log_state(self):
+        state = self.status.describe(self.ramp.is_warm).value
+        log_event(Event.SERVER_STATE_CHANGED, server=self.server.name, state=state)
+
+    async def _poll_status(self):
+        while True:
+            if self._check() is not SubqueryOutcome.FENCED:
+                await self._poll_once()
+            await trio.sleep(STATUS_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+
+    async def _poll_once(self):
+        began_at, conn, body = trio.current_time(), None, None
+        with trio.move_on_after(STATUS_TIMEOUT_S):
+            try:
+                conn = await self._pool.acquire()
+                body = await conn.read_status()
+            except ConnectFailedError:
+                return
+        if body is not None:
+            self._note_reachable()
+            self._note_incarnation(self.status.note_status(body))
+        elif conn is not None:
+            self._pool.note_unanswered(began_at, STATUS_TIMEOUT_S)
+        if conn is not None:
+            await self._pool.release(conn)
--- /dev/null
+++ b/src/wisteriaworks/holder.py
@@ -0,0 +1,215 @@
+"""Hold backend servers: run batches of sub-queries on the servers held.
+
+``apply_view`` must be called in the same step as the renewal of the lease when
+the session changes, so that no lease of a new session covers old holdings.
+"""
+
+import contextlib
+import functools
+import random
+
+import trio
+
+from wisteriaworks.generated.messages import Release
+from wisteriaworks.generated.subqueries import SubqueryOutcome
+from wisteriaworks.held_server import HeldServer, Work
+from wisteriaworks.view import EMPTY_VIEW
+
+RELEASE_TIMEOUT_S = 2.0
+LEASE_CHECK_S = 0.05
+_CANCELLED = "cancelled"
+
+
+class _Batch:
+    """Follow the attempts of one batch until all are answered."""
+
+    def __init__(self):
+        self.works = {}
+        self.open = set()
+        self.finished = trio.Event()
+
+    def finish(self, work):
+        self.open.discard(work)
+        if not self.open:
+            self.finished.set()
+
+
+class Holder:
+    """Run sub-queries on the servers that the routes assign to this entry."""
+
+    def __init__(self, lease, rng=None):
+        self._lease = lease
+        self._rng = rng or random.Random()
+        self._view = EMPTY_VIEW
+        self._session = 0
+        self._held = {}
+        self._closing = {}
+        self._released = {}
+        self._batches = {}
+        self._was_valid = False
+        self._stack = contextlib.AsyncExitStack()
+        self._nursery = None
+
+    async def __aenter__(self):
+        async with contextlib.AsyncExitStack() as stack:
+            self._nursery = await stack.enter_async_context(trio.open_nursery())
+            self._nursery.start_soon(self._watch_lease)
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._nursery.cancel_scope.cancel()
+        return await self._stack.__aexit__(*exc_info)
+
+    def apply_view(self, view, session):
+        """Take and give up servers so that they match the routes."""
+        self._view, self._session = view, session
+        wanted = self._find_wanted()
+        for name, held in tuple(self._held.items()):
+            route = wanted.get(name)
+            if route is None or not self._matches(held, route):
+                self._start_closing(name, None)
+        for name, route in wanted.items():
+            if name not in self._held and self._released.get(name) != route.epoch:
+                self._hold(name, route.epoch)
+        self._forget_released(wanted)
+        for name, held in self._held.items():
+            held.status.listed_leaving = wanted[name].leaving
+        self._refuse_forbidden()
+
+    async def run_batch(self, batch, send):
+        """Call ``send(reply)`` once for each attempt of a batch.
+
+        Cancelling stops the attempts that are still open.
+        """
+        deadline = trio.current_time() + batch.timeout_ms / 1000.0
+        running = _Batch()
+        for item in batch.items:
+            work = Work(batch, item, deadline, send, running.finish)
+            running.works[item.attempt] = work
+            running.open.add(work)
+        self._batches.setdefault(batch.batch_id, []).append(running)
+        try:
+            for work in running.works.values():
+                self._submit(work)
+            with trio.move_on_at(deadline):
+                await running.finished.wait()
+            self._abandon(running, running.works, SubqueryOutcome.TIMED_OUT, "")
+        finally:
+            self._abandon(
+                running, running.works, SubqueryOutcome.FAILED, "requester is gone"
+            )
+            self._forget_batch(batch.batch_id, running)
+
+    def cancel(self, batch_id, attempts):
+        """Stop attempts that are no longer needed; they are answered as failed."""
+        for running in self._batches.get(batch_id, ()):
+            self._abandon(running, attempts, SubqueryOutcome.FAILED, _CANCELLED)
+
+    def collect_reports(self, full):
+        """Return the ServerReports that changed since the last call, or all."""
+        reports = [held.collect_report(full) for held in self._held.values()]
+        return tuple(report for report in reports if report is not None)
+
+    def start_release(self, servers):
+        """Begin to hand servers back; accepted work is finished first."""
+        for name in servers:
+            if name in self._held:
+                epoch = self._held[name].epoch
+                self._start_closing(name, epoch)
+
+    def take_released(self):
+        """Return the released servers that the routes still assign to this entry.
+
+        They are listed again until the view shows that control knows, because
+        a heartbeat that carries them may be lost.
+        """
+        done = {
+            name: epoch
+            for name, epoch in self._released.items()
+            if (name, epoch) not in self._closing
+        }
+        return tuple(Release(name, epoch) for name, epoch in done.items())
+
+    def _find_wanted(self):
+        if not self._session:
+            return {}
+        return {
+            name: route
+            for name, route in self._view.routes.items()
+            if route.holder == self._session and name in self._view.servers
+        }
+
+    def _matches(self, held, route):
+        server = self._view.servers[held.server.name]
+        return held.epoch == route.epoch and held.server == server
+
+    def _hold(self, name, epoch):
+        server = self._view.servers[name]
+        check = functools.partial(self._find_forbidden, server.domain)
+        rng = random.Random(self._rng.random())
+        held = self._held[name] = HeldServer(server, epoch, check, rng)
+        earlier = [old for (key, _), old in self._closing.items() if key == name]
+        self._nursery.start_soon(held.run, earlier)
+
+    def _start_closing(self, name, released_epoch):
+        held = self._held.pop(name)
+        if released_epoch is None:
+            held.refuse_queued(SubqueryOutcome.NOT_HOLDER)
+        else:
+            self._released[name] = released_epoch
+        self._closing[name, held.epoch] = held
+        self._nursery.start_soon(self._close, name, held)
+
+    async def _close(self, name, held):
+        await held.close(RELEASE_TIMEOUT_S)
+        del self._closing[name, held.epoch]
+
+    def _forget_released(self, wanted):
+        for name, epoch in tuple(self._released.items()):
+            if name not in wanted or wanted[name].epoch != epoch:
+                del self._released[name]
+
+    def _find_forbidden(self, domain):
+        if not self._lease.is_valid(trio.current_time()):
+            return SubqueryOutcome.FENCED
+        if self._view.is_domain_out(domain):
+            return SubqueryOutcome.DOMAIN_OUT
+        return None
+
+    def _submit(self, work):
+        held = self._held.get(work.item.server)
+        if held is None or held.epoch != work.item.epoch:
+            work.reply(SubqueryOutcome.NOT_HOLDER, sent=False)
+        else:
+            held.submit(work)
+
+    def _abandon(self, running, attempts, outcome, detail):
+        works = [running.works[n] for n in attempts if n in running.works]
+        still_open = [work for work in works if work in running.open]
+        for work in still_open:
+            work.abandon(outcome, detail)
+        for name in {work.item.server for work in still_open} & self._held.keys():
+            self._held[name].drop_finished()
+
+    def _forget_batch(self, batch_id, running):
+        others = [b for b in self._batches[batch_id] if b is not running]
+        if others:
+            self._batches[batch_id] = others
+        else:
+            del self._batches[batch_id]
+
+    def _refuse_forbidden(self):
+        for held in (*self._held.values(), *self._closing.values()):
+            forbidden = self._find_forbidden(held.server.domain)
+            if forbidden is not None:
+                held.refuse_queued(forbidden)
+
+    async def _watch_lease(self):
+        """Answer what is queued soon after the lease runs out."""
+        while True:
+            is_valid = self._lease.is_valid(trio.current_time())
+            if self._was_valid and not is_valid:
+                self._refuse_forbidden()
+            self._was_valid = is_valid
+            await trio.sleep(LEASE_CHECK_S)
