--- a/src/wisteriaworks/entry.py
+++ b/src/wisteriaworks/entry.py
@@ -3,11 +3,13 @@
 import contextlib
 import random
 import sys
+from typing import ClassVar
 
 import trio
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
 
 from wisteriaworks import __version__
 from wisteriaworks.admin import AdminApp, serve_http
@@ -40,6 +42,10 @@
 # Time in which an entry whose failure domain is out still accepts requests
 # that the balancer sends before it notices that the entry is not ready.
 OUT_GRACE_S = 2.0
+WATCH_INTERVAL_S = 0.1
+# Control asks for one server of a replica set at a time. After this time the
+# entry releases the rest by itself.
+HANDOVER_S = 5.0
 
 
 class Entry:
@@ -48,6 +54,7 @@
     def __init__(self, cfg, stack):
         self._cfg = cfg
         self._stack = stack
+        self._lag_is_over = False
 
     async def open(self):
         """Create the parts, owned by the exit stack."""
@@ -57,7 +64,7 @@
         self.nursery = await enter(trio.open_nursery())
         self._lease = Lease()
         control = await enter(ControlClient(cfg.control))
-        self._holder = await enter(Holder(self._lease, metrics, rng))
+        self._holder = await enter(Holder(self._lease, rng))
         peers = await enter(Peers(cfg.peer, self._holder))
         store = ViewStore(cfg.data_folder)
         self.session = Session(cfg, control, self._holder, self._lease, store)
@@ -84,7 +91,9 @@
         await start(self._rpc.serve, cfg.peer)
         self.nursery.start_soon(self.session.run)
         self.nursery.start_soon(self._watch_domain)
-        await start(serve_http, AdminApp(self.is_ready), cfg.admin)
+        await start(
+            serve_http, AdminApp(self.is_ready, self._reports.render), cfg.admin
+        )
         await start(serve_http, self.api, cfg.api)
         log_event(Event.PROCESS_STARTED, api=cfg.api)
         await stop.wait()
@@ -113,18 +122,20 @@
         while True:
             out = self.session.seconds_out()
             self.api.closing = self.session.stopping or out > 0
-            self.api.refusing = self.api.refusing_for_stop or out > OUT_GRACE_S
-            await trio.sleep(0.1)
+            self.api.refusing = self._lag_is_over or out > OUT_GRACE_S
+            await trio.sleep(WATCH_INTERVAL_S)
 
     async def _stop(self):
         self.session.stopping = True
-        self.api.closing = True
         await trio.sleep(self._cfg.balancer_lag_s)
-        self.api.refusing_for_stop = True
+        self._lag_is_over = True
         await wait_until(lambda: self.api.running == 0 and self._claims.running == 0)
+        with trio.move_on_after(HANDOVER_S):
+            await wait_until(lambda: not self.session.is_holding())
+        # No other entry can take the servers, as when all entries stop.
+        self.session.release_all()
         await wait_until(lambda: not self.session.is_holding())
         self._rpc.announce_stop()
-        await wait_until(self._holder.is_idle)
 
 
 async def run_entry(cfg):
@@ -142,7 +153,9 @@
 
     name = "run"
     description = "Run an entry until SIGTERM asks for a graceful stop."
-    arguments = [argument("settings", "YAML file with the settings of the entry.")]  # noqa: RUF012
+    arguments: ClassVar[list[Argument]] = [
+        argument("settings", "YAML file with the settings of the entry.")
+    ]
 
     def handle(self):
         """Run the entry."""
--- a/src/wisteriaworks/session.py
+++ b/src/wisteriaworks/session.py
@@ -25,7 +25,6 @@
         self._holder = holder
         self._lease = lease
         self._store = store
-        self._released = ()
         self._route_version = 0
         self._leader_epoch = None
         self._heartbeat_s = FIRST_HEARTBEAT_S
@@ -77,9 +76,14 @@
         return trio.current_time() - self._out_since
 
     def is_holding(self):
-        """Say whether the entry still holds servers or has to report releases."""
-        held = any(r.holder == self.number for r in self.view.routes.values())
-        return self.number != 0 and (held or bool(self._released))
+        """Say whether control still lists this entry as a holder."""
+        holders = {route.holder for route in self.view.routes.values()}
+        return self.number != 0 and self.number in holders
+
+    def release_all(self):
+        """Begin to release every server that control lists for this entry."""
+        routes = self.view.routes.values()
+        self._holder.start_release(r.server for r in routes if r.holder == self.number)
 
     def _may_serve_stale(self):
         return (
@@ -88,7 +92,6 @@
         )
 
     def _create_heartbeat(self):
-        self._released += self._holder.take_released()
         full = self._leader_epoch is None
         return Heartbeat(
             session=self.number,
@@ -100,7 +103,7 @@
             route_version=self._route_version,
             full=full,
             reports=self._holder.collect_reports(full),
-            released=self._released,
+            released=self._holder.take_released(),
         )
 
     def _handle_silence(self, exc):
@@ -111,7 +114,6 @@
             self._lease.renew(trio.current_time(), self._lease_s)
 
     def _handle_reply(self, reply, sent_at):
-        self._released = ()
         if reply.session != self.number:
             self._change_session(reply.session)
         if reply.session:
@@ -136,7 +138,6 @@
             log_event(Event.SESSION_OPENED, session=number)
         self.number = number
         self._leader_epoch = None
-        self._released = ()
 
     def _adopt(self, reply):
         version, document = self.view.config_version, self.view.document
