Stop the callers' listener before the parts behind it, and log tracebacks

Cause: under load a stopping entry closed its parts while hypercorn still took requests, and a search ended in an internal error. Ruled out: port clashes. The listener is now stopped first and its running requests are finished. The history of the configuration is checked over three control processes that are frozen, killed and lose a disk.

--- a/src/wisteriaworks/admin.py
+++ b/src/wisteriaworks/admin.py
@@ -6,6 +6,7 @@
 
 from wisteriaworks.metrics import render_metrics
 
+GRACEFUL_TIMEOUT_S = 30.0
 _TEXT = b"text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -40,13 +41,19 @@
         return (404, b"not found\n") if page is None else (200, page)
 
 
-async def serve_http(app, address, *, task_status=trio.TASK_STATUS_IGNORED):
-    """Serve an ASGI app at ``HOST:PORT`` until cancelled."""
+async def serve_http(app, address, stop=None, *, task_status=trio.TASK_STATUS_IGNORED):
+    """Serve an ASGI app at ``HOST:PORT`` until cancelled.
+
+    When the event ``stop`` is set, close the listener and the idle
+    connections, finish running requests, and return.
+    """
     cfg = Config()
     cfg.bind = [address]
     cfg.accesslog = None
     cfg.errorlog = None
-    await serve(app, cfg, task_status=task_status)
+    cfg.graceful_timeout = GRACEFUL_TIMEOUT_S
+    trigger = stop.wait if stop is not None else None
+    await serve(app, cfg, shutdown_trigger=trigger, task_status=task_status)
 
 
 async def _run_lifespan(receive, send):
--- a/src/wisteriaworks/api.py
+++ b/src/wisteriaworks/api.py
@@ -10,7 +10,7 @@
 from wisteriaworks.answers import create_answer, create_error
 from wisteriaworks.asgi import JSON, read_body, run_lifespan, send_response
 from wisteriaworks.errors import ErrorKind, RequestError
-from wisteriaworks.events import Event, log_event
+from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.generated.api import SearchBody
 from wisteriaworks.generated.document import Caller, Routing, Search
 from wisteriaworks.request_id import parse_request_id
@@ -170,7 +170,7 @@
             )
             return create_error(request_id, exc)
         except Exception as exc:
-            log_event(Event.HANDLER_FAILED, error=repr(exc))
+            log_failure(exc)
             failure = RequestError(ErrorKind.INTERNAL_ERROR, "internal error")
             return create_error(request_id, failure)
 
--- a/src/wisteriaworks/claims.py
+++ b/src/wisteriaworks/claims.py
@@ -12,7 +12,7 @@
 
 from wisteriaworks.answers import Answer, create_error, create_once_answer
 from wisteriaworks.errors import ControlError, ErrorKind, RequestError, RunState
-from wisteriaworks.events import Event, log_event
+from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.generated.api import RecordedAnswer
 from wisteriaworks.generated.messages import (
     Claim,
@@ -126,7 +126,7 @@
         except RequestError as exc:
             execution.finish(create_error(request.request_id, exc))
         except Exception as exc:
-            log_event(Event.HANDLER_FAILED, error=repr(exc))
+            log_failure(exc)
             if execution.answer is None:
                 failure = RequestError(ErrorKind.INTERNAL_ERROR, "internal error")
                 execution.finish(create_error(request.request_id, failure))
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -22,7 +22,7 @@
     SettingsError,
     WisteriaError,
 )
-from wisteriaworks.events import Event, log_event
+from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.generated.settings import ControlSettings
 from wisteriaworks.log_store import LogStore, initialise
 from wisteriaworks.logs import configure_logs
@@ -104,7 +104,7 @@
 def _log_failure(exc):
     # The caller is told that the outcome is unknown; nothing is wrong here.
     if not isinstance(exc, ProposalUnknownError):
-        log_event(Event.HANDLER_FAILED, reason=repr(exc))
+        log_failure(exc)
 
 
 async def run_until_signal(program):
--- a/src/wisteriaworks/entry.py
+++ b/src/wisteriaworks/entry.py
@@ -18,7 +18,7 @@
 from wisteriaworks.claims import ClaimRunner
 from wisteriaworks.control_client import ControlClient
 from wisteriaworks.errors import WisteriaError
-from wisteriaworks.events import Event, log_event
+from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.generated.settings import EntrySettings
 from wisteriaworks.generated.subqueries import (
     Acknowledged,
@@ -55,6 +55,8 @@
         self._cfg = cfg
         self._stack = stack
         self._lag_is_over = False
+        self._stop_api = trio.Event()
+        self._api_stopped = trio.Event()
 
     async def open(self):
         """Create the parts, owned by the exit stack."""
@@ -81,7 +83,7 @@
         )
         self._rpc = RpcServer(
             {SubqueryBatch: self._holder.run_batch, CancelAttempts: self._cancel},
-            on_error=lambda exc: log_event(Event.HANDLER_FAILED, error=repr(exc)),
+            on_error=log_failure,
         )
 
     async def run(self):
@@ -94,7 +96,7 @@
         await start(
             serve_http, AdminApp(self.is_ready, self._reports.render), cfg.admin
         )
-        await start(serve_http, self.api, cfg.api)
+        await start(self._serve_api)
         log_event(Event.PROCESS_STARTED, api=cfg.api)
         await stop.wait()
         log_event(Event.PROCESS_STOPPING)
@@ -118,6 +120,12 @@
         self._holder.cancel(message.batch_id, message.attempts)
         return Acknowledged()
 
+    async def _serve_api(self, *, task_status):
+        await serve_http(
+            self.api, self._cfg.api, self._stop_api, task_status=task_status
+        )
+        self._api_stopped.set()
+
     async def _watch_domain(self):
         while True:
             out = self.session.seconds_out()
@@ -128,13 +136,15 @@
     async def _stop(self):
         self.session.stopping = True
         await trio.sleep(self._cfg.balancer_lag_s)
-        self._lag_is_over = True
+        self._lag_is_over = self.api.refusing = True
         await wait_until(lambda: self.api.running == 0 and self._claims.running == 0)
         with trio.move_on_after(HANDOVER_S):
             await wait_until(lambda: not self.session.is_holding())
         # No other entry can take the servers, as when all entries stop.
         self.session.release_all()
         await wait_until(lambda: not self.session.is_holding())
+        self._stop_api.set()
+        await self._api_stopped.wait()
         self._rpc.announce_stop()
 
 
@@ -165,7 +175,11 @@
             self.line_error(f"{PROGRAM}: {exc.message}")
             return exc.exit_code
         configure_logs(cfg.log, PROGRAM, cfg.name)
-        return trio.run(run_entry, cfg)
+        try:
+            return trio.run(run_entry, cfg)
+        except Exception as exc:
+            log_failure(exc)
+            raise
 
 
 def main():
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -4,6 +4,7 @@
 lists all of them, and a test compares the two.
 """
 
+import traceback
 from enum import Enum
 from typing import NamedTuple
 
@@ -58,6 +59,12 @@
     PLATFORM_UNREADABLE = _Spec(511, "WARNING", "list of VMs cannot be read")
 
 
+def log_failure(exc, **fields):
+    """Log an exception that no code expected, with its traceback."""
+    trace = "".join(traceback.format_exception(exc))
+    log_event(Event.HANDLER_FAILED, error=repr(exc), traceback=trace, **fields)
+
+
 def log_event(event, **fields):
     """Log an event with its fields."""
     number, level, text = event.value
--- a/src/wisteriaworks/local_system.py
+++ b/src/wisteriaworks/local_system.py
@@ -90,7 +90,7 @@
                 peer=next(ports),
                 admin=next(ports),
                 control=tuple(address for address, _ in members),
-                balancer_lag_s=0.5,
+                balancer_lag_s=1.0,
                 seed=layout.seed + number,
                 log=self._log(f"entry-{number}"),
             )
@@ -116,10 +116,14 @@
             for number in range(self.layout.emulators):
                 nursery.start_soon(self.start_emulator, number)
         await self.start_control()
-        await self.apply(self.document, 0)
         async with trio.open_nursery() as nursery:
             for cfg in self.entry_settings:
                 nursery.start_soon(self.start_entry, cfg)
+            # Servers are spread over all entries from the start.
+            await self.wait_for(
+                lambda status: len(status.entries) >= self.layout.entries
+            )
+            await self.apply(self.document, 0)
         await self.wait_for_holders()
 
     async def start_emulator(self, number):
--- a/src/wisteriaworks/peers.py
+++ b/src/wisteriaworks/peers.py
@@ -8,7 +8,7 @@
 
 from wisteriaworks import rpc
 from wisteriaworks.errors import RpcError
-from wisteriaworks.events import Event, log_event
+from wisteriaworks.events import log_failure
 from wisteriaworks.generated.subqueries import CancelAttempts
 
 # Holders change rarely; a connection that was unused this long is closed.
@@ -132,7 +132,7 @@
                 await local.run_batch(batch, self._send.send_nowait)
             except Exception as exc:
                 self._failure = exc
-                log_event(Event.HANDLER_FAILED, error=repr(exc))
+                log_failure(exc)
 
     def __aiter__(self):
         return self
--- /dev/null
+++ b/tests/test_control_system.py
@@ -0,0 +1,162 @@
+"""Guard against configurations that are lost, doubled or reverted.
+
+Three control processes are frozen, killed, restarted and replaced after the
+loss of a disk, while operators race and resend; the history is checked.
+"""
+
+import itertools
+import random
+import shutil
+import signal
+
+import msgspec
+import trio
+from history import Event, check_history
+
+from wisteriaworks.errors import ControlError
+from wisteriaworks.generated.document import Document, Limits
+from wisteriaworks.generated.messages import (
+    MemberAction,
+    ProposeConfiguration,
+    ProposeResult,
+    ReadConfiguration,
+)
+from wisteriaworks.local_layout import IndexLayout, Layout
+from wisteriaworks.local_system import LocalSystem, create_id
+
+LAYOUT = Layout(domains=("a", "b", "c"), indexes=(IndexLayout("i", replica_sets=1),))
+TRY_S = 3.0
+MARKERS = itertools.count(1000)
+
+
+class Operators:
+    """Race changes from the version last read, and record what happened."""
+
+    def __init__(self, control):
+        self._control = control
+        self.events = []
+        self.accepted = 0
+
+    async def write(self, rng):
+        """Propose changes until cancelled; resend one whose answer is lost."""
+        while True:
+            base = await self._call(ReadConfiguration())
+            marker = next(MARKERS)
+            document = Document(limits=Limits(max_running=marker))
+            message = ProposeConfiguration(create_id(), base.version, document)
+            began_at = trio.current_time()
+            event = Event("write", began_at, float("inf"), None, marker)
+            self.events.append(event)
+            reply = await self._call(message)
+            self.events.remove(event)
+            if reply.result is ProposeResult.ACCEPTED:
+                self.accepted += 1
+                self._record("write", began_at, reply.version, marker)
+            await trio.sleep(rng.uniform(0.0, 0.1))
+
+    async def read(self, rng):
+        """Read the configuration until cancelled."""
+        while True:
+            began_at = trio.current_time()
+            reply = await self._call(ReadConfiguration())
+            marker = reply.document.limits.max_running
+            self._record("read", began_at, reply.version, marker)
+            await trio.sleep(rng.uniform(0.0, 0.1))
+
+    async def _call(self, message):
+        while True:
+            try:
+                return await self._control.call(message, TRY_S)
+            except ControlError:
+                await trio.sleep(0.05)
+
+    def _record(self, kind, began_at, version, marker):
+        ended_at = trio.current_time()
+        self.events.append(Event(kind, began_at, ended_at, version, marker))
+
+    async def wait_for_progress(self, count=5):
+        """Wait until more changes were accepted."""
+        target = self.accepted + count
+        with trio.fail_after(60):
+            while self.accepted < target:
+                await trio.sleep(0.05)
+
+
+async def find_leader(system):
+    status = await system.read_status()
+    return next(c for c in system.control_settings if c.address == status.leader)
+
+
+async def freeze_leader(system, operators):
+    """A leader that is cut off and comes back must not revert anything."""
+    leader = await find_leader(system)
+    system.pause_control(leader.name, True)
+    await operators.wait_for_progress()
+    system.pause_control(leader.name, False)
+    await operators.wait_for_progress()
+
+
+async def kill_leader(system, operators):
+    leader = await find_leader(system)
+    await system.controls[leader.name].kill()
+    await operators.wait_for_progress()
+    await system.run_control(leader)
+    await operators.wait_for_progress()
+
+
+async def lose_disk_and_then_another_member(system, operators):
+    """The new disk must not vote as the old one; a second loss is survived."""
+    status = await system.read_status()
+    lost = system.control_settings[2]
+    old_id = next(m.id for m in status.members if m.address == lost.address)
+    await system.controls[lost.name].kill()
+    shutil.rmtree(lost.data_folder)
+    await system.run_control(lost)
+    assert await system.read_member_id(lost) != old_id
+    await system.change_members(MemberAction.REMOVE, old_id)
+    await system.add_member(lost)
+    second = system.control_settings[1]
+    await system.controls[second.name].kill()
+    await operators.wait_for_progress()
+    await system.run_control(second)
+    await operators.wait_for_progress()
+
+
+async def restart_all(system, operators):
+    """The latest state must be there after hundreds of changes."""
+    for process in system.controls.values():
+        process.send(signal.SIGKILL)
+    for cfg in system.control_settings:
+        await system.controls[cfg.name].wait()
+        await system.run_control(cfg)
+    await operators.wait_for_progress()
+
+
+async def run_faults(folder):
+    async with LocalSystem(LAYOUT, folder) as system:
+        system.control_settings = tuple(
+            msgspec.structs.replace(cfg, platform=None, snapshot_every=100)
+            for cfg in system.control_settings
+        )
+        await system.start_control()
+        operators = Operators(system.control)
+        async with trio.open_nursery() as nursery:
+            for number in range(3):
+                nursery.start_soon(operators.write, random.Random(number))
+                nursery.start_soon(operators.read, random.Random(10 + number))
+            await operators.wait_for_progress(150)
+            for fault in (
+                freeze_leader,
+                kill_leader,
+                lose_disk_and_then_another_member,
+                restart_all,
+            ):
+                print(f"fault {fault.__name__}", flush=True)
+                await fault(system, operators)
+            nursery.cancel_scope.cancel()
+        print(f"{operators.accepted} changes, {len(operators.events)} operations")
+        check_history(operators.events)
+
+
+def test_configuration_history(tmp_path):
+    trio.run(run_faults, tmp_path)
