Test the holder against the emulator and treat closed connections as a restart

A server that restarted between two requests got as many sub-queries as its predecessor bore: the ramp learned of the restart only from replies. All idle connections closed by the server now reset the ramp, and work that holds a permit from before the reset goes back to the queue. Closed connections no longer count as silent.

--- /dev/null
+++ b/bench/holder.py
@@ -0,0 +1,190 @@
+"""Measure the holder's processor time per sub-query, layer by layer.
+
+The emulator runs in another process, so only the holder's side is counted.
+Run with ``python bench/holder.py``; ``--profile`` prints where time goes.
+"""
+
+import argparse
+import cProfile
+import multiprocessing
+import pstats
+import random
+import time
+
+import httpcore
+import msgspec
+import trio
+from httpcore._backends.trio import TrioStream
+from loguru import logger
+
+from wisteriaworks import backend_protocol as protocol
+from wisteriaworks.backend_client import open_connection
+from wisteriaworks.backend_emulator import Emulator
+from wisteriaworks.generated import emulator as settings
+from wisteriaworks.generated.document import Document, Index, Server
+from wisteriaworks.generated.messages import Route, ServerState
+from wisteriaworks.generated.subqueries import (
+    SubqueryBatch,
+    SubqueryItem,
+    SubqueryOutcome,
+)
+from wisteriaworks.holder import Holder
+from wisteriaworks.lease import Lease
+from wisteriaworks.view import View
+
+SERVERS = 10
+SLOTS = 4
+SHARDS = tuple(f"h{n}" for n in range(SERVERS * 3))
+PORT = 18700
+SESSION = 1
+EXCHANGES = 2000
+BATCHES = 200
+WARM_UP_BATCHES = 150
+QUERY = b'{"text":"plate"}'
+BODY = protocol.SubqueryBody(msgspec.Raw(QUERY), SHARDS[0], 1, 1000.0, "r/b/1")
+
+
+def _make_settings():
+    service = settings.ServiceTime(median_ms=0.1, sigma=0.0)
+    profile = settings.Profile(
+        slots=SLOTS, open_ms=0.0, start_cold=False, service=service
+    )
+    servers = [
+        settings.ServerSettings(
+            name=f"s{n}",
+            address=f"127.0.0.1:{PORT + n}",
+            index="i",
+            shards=SHARDS,
+            profile="p",
+        )
+        for n in range(SERVERS)
+    ]
+    return settings.EmulatorSettings(
+        control=f"127.0.0.1:{PORT - 1}",
+        profiles={"p": profile},
+        indexes={"i": settings.EmulatedIndex(partition_map=SHARDS, hits=90)},
+        servers=tuple(servers),
+    )
+
+
+def _run_emulator():
+    trio.run(Emulator(_make_settings()).run)
+
+
+def _make_view():
+    servers = [
+        Server(
+            name=f"s{n}",
+            address=f"127.0.0.1:{PORT + n}",
+            domain="d",
+            replica_set=f"r{n}",
+            slots=SLOTS,
+            connections=25,
+        )
+        for n in range(SERVERS)
+    ]
+    routes = {
+        server.name: Route(server.name, SESSION, "", 1, ServerState.READY, False, ())
+        for server in servers
+    }
+    document = Document(indexes={"i": Index(servers=tuple(servers))})
+    return View(1, document, routes)
+
+
+async def _exchange_bytes():
+    """Exchange the same bytes without any HTTP library."""
+    data = msgspec.json.encode(BODY)
+    head = b"POST /subquery HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+    stream = await trio.open_tcp_stream("127.0.0.1", PORT)
+    async with stream:
+        for _ in range(EXCHANGES):
+            await stream.send_all(head % len(data) + data)
+            await stream.receive_some(65536)
+    return EXCHANGES
+
+
+async def _exchange_httpcore():
+    """Exchange over httpcore's connection and its own stream."""
+    origin = httpcore.Origin(b"http", b"127.0.0.1", PORT)
+    stream = await trio.open_tcp_stream("127.0.0.1", PORT)
+    conn = httpcore.AsyncHTTP11Connection(origin, TrioStream(stream))
+    async with conn:
+        for _ in range(EXCHANGES):
+            data = msgspec.json.encode(BODY)
+            headers = {"Host": "a", "Content-Length": str(len(data))}
+            url = f"http://127.0.0.1:{PORT}/subquery"
+            res = await conn.request("POST", url, headers=headers, content=data)
+            assert res.status == 200
+    return EXCHANGES
+
+
+async def _exchange_adapter():
+    """Exchange over the adapter, without pool and queue."""
+    conn = await open_connection(f"127.0.0.1:{PORT}")
+    for _ in range(EXCHANGES):
+        result = await conn.run_subquery(BODY, lambda: None)
+        assert result.outcome is SubqueryOutcome.ANSWERED
+    await conn.aclose()
+    return EXCHANGES
+
+
+def _make_batch(number):
+    items = tuple(
+        SubqueryItem(n, f"s{n % SERVERS}", 1, shard) for n, shard in enumerate(SHARDS)
+    )
+    return SubqueryBatch(f"b{number}", "r", 1, 1, 5000.0, True, QUERY, items)
+
+
+async def _run_batches(holder, count, profile):
+    replies = []
+    if profile is not None:
+        profile.enable()
+    began_s = time.process_time()
+    for number in range(count):
+        await holder.run_batch(_make_batch(number), replies.append)
+    spent_s = time.process_time() - began_s
+    if profile is not None:
+        profile.disable()
+    answered = sum(r.outcome is SubqueryOutcome.ANSWERED for r in replies)
+    return spent_s, answered, len(replies)
+
+
+async def _measure_holder(profile):
+    lease = Lease()
+    lease.renew(0.0, float("inf"))
+    async with Holder(lease, random.Random(1)) as holder:
+        holder.apply_view(_make_view(), SESSION)
+        await _run_batches(holder, WARM_UP_BATCHES, None)
+        spent_s, answered, total = await _run_batches(holder, BATCHES, profile)
+    cost_us = spent_s / total * 1e6
+    print(f"holder: {cost_us:.0f} us per sub-query, {answered} of {total} answered")
+
+
+async def _measure(exchange):
+    began_s = time.process_time()
+    count = await exchange()
+    spent_s = time.process_time() - began_s
+    name = exchange.__name__.removeprefix("_exchange_")
+    print(f"{name}: {spent_s / count * 1e6:.0f} us per sub-query")
+
+
+def main():
+    """Print the processor time of each layer."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--profile", action="store_true")
+    profile = cProfile.Profile() if parser.parse_args().profile else None
+    logger.remove()
+    child = multiprocessing.Process(target=_run_emulator, daemon=True)
+    child.start()
+    time.sleep(1.5)
+    for exchange in (_exchange_bytes, _exchange_httpcore, _exchange_adapter):
+        trio.run(_measure, exchange)
+    trio.run(_measure_holder, profile)
+    child.terminate()
+    child.join()
+    if profile is not None:
+        pstats.Stats(profile).sort_stats("tottime").print_stats(40)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/wisteriaworks/connection_pool.py
+++ b/src/wisteriaworks/connection_pool.py
@@ -39,13 +39,18 @@
 
 
 class ConnectionPool:
-    """Open, reuse and close the connections to one server."""
+    """Open, reuse and close the connections to one server.
 
-    def __init__(self, address, max_connections, ramp, rng):
+    ``on_all_closed()`` is called when the server has closed all idle
+    connections, which is the first sign of a restart.
+    """
+
+    def __init__(self, address, max_connections, ramp, rng, on_all_closed):
         self._address = address
         self._max = max_connections
         self._ramp = ramp
         self._rng = rng
+        self._on_all_closed = on_all_closed
         self._idle = []
         self._expiry = {}
         self._suspects = set()
@@ -131,12 +136,23 @@
         now = trio.current_time()
         while self._idle:
             conn = self._idle.pop()
+            if not conn.is_usable:
+                self._idle.append(conn)
+                await self._drop_closed()
+                continue
             is_stale = fresh and now - conn.idle_since >= STALE_IDLE_S
-            if conn.is_usable and not is_stale and conn not in self._suspects:
+            if not is_stale and conn not in self._suspects:
                 return conn
             await self.discard(conn)
         return None
 
+    async def _drop_closed(self):
+        closed = [conn for conn in self._idle if not conn.is_usable]
+        if closed and len(closed) == len(self._idle):
+            self._on_all_closed()
+        for conn in closed:
+            await self.discard(conn)
+
     async def _open(self):
         self._connecting += 1
         try:
@@ -174,10 +190,10 @@
                 await trio.sleep(UPKEEP_INTERVAL_S / 10)
 
     async def _close_old(self):
+        await self._drop_closed()
         now = trio.current_time()
-        for conn in tuple(self._idle):
-            if self._expiry[conn] <= now or not conn.is_usable:
-                await self.discard(conn)
+        for conn in [conn for conn in self._idle if self._expiry[conn] <= now]:
+            await self.discard(conn)
 
     async def _open_spares(self):
         while len(self._expiry) < self._ramp.spares and self._may_open():
--- a/src/wisteriaworks/held_server.py
+++ b/src/wisteriaworks/held_server.py
@@ -1,6 +1,7 @@
 """Queue and send the sub-queries of one held server."""
 
 import collections
+import functools
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -86,7 +87,13 @@
         self._check = check
         self._queue = collections.deque()
         self._parked = trio.lowlevel.ParkingLot()
-        self._pool = ConnectionPool(server.address, server.connections, self.ramp, rng)
+        self._pool = ConnectionPool(
+            server.address,
+            server.connections,
+            self.ramp,
+            rng,
+            functools.partial(self._reset_ramp, "connections closed"),
+        )
         self._rng = rng
         self._scope = trio.CancelScope()
         self._backoff_s = 0.0
@@ -200,8 +207,10 @@
             self.outstanding += 1
             try:
                 await self._run_work(work, permit)
-            finally:
+            except trio.Cancelled:
                 work.reply(SubqueryOutcome.FAILED, work.sent, detail="closed")
+                raise
+            finally:
                 self.outstanding -= 1
                 self._parked.unpark_all()
 
@@ -230,10 +239,18 @@
             except ConnectFailedError as exc:
                 self._note_unreachable(work, exc)
                 return
+            if not self.ramp.is_current(permit):
+                await self._put_back(work)
+                return
             await self._exchange(work, permit)
         # Both replies do nothing if the attempt was answered.
         work.reply(SubqueryOutcome.TIMED_OUT, work.sent, load=self.load)
 
+    async def _put_back(self, work):
+        conn, work.conn = work.conn, None
+        self._queue.appendleft(work)
+        await self._pool.release(conn)
+
     async def _exchange(self, work, permit):
         work.began_at = trio.current_time()
         conn, result = work.conn, None
@@ -282,8 +299,8 @@
         return min(max(scaled_s, MIN_PROGRESS_S), MAX_PROGRESS_S)
 
     def _note_silence(self, work, conn, result, limit_s):
-        is_answered = result is not None and result.end is not End.BROKEN
-        if not is_answered and conn.has_sent and conn.heard_at < work.began_at:
+        # A connection that broke was not silent.
+        if result is None and conn.has_sent and conn.heard_at < work.began_at:
             self._pool.note_unanswered(work.began_at, limit_s)
 
     def _note_result(self, work, permit, result):
@@ -354,7 +371,7 @@
 
     async def _poll_once(self):
         began_at, conn, body = trio.current_time(), None, None
-        with trio.move_on_after(STATUS_TIMEOUT_S):
+        with trio.move_on_after(STATUS_TIMEOUT_S) as scope:
             try:
                 conn = await self._pool.acquire()
                 body = await conn.read_status()
@@ -363,7 +380,7 @@
         if body is not None:
             self._note_reachable()
             self._note_incarnation(self.status.note_status(body))
-        elif conn is not None:
+        elif conn is not None and scope.cancelled_caught:
             self._pool.note_unanswered(began_at, STATUS_TIMEOUT_S)
         if conn is not None:
             await self._pool.release(conn)
--- a/src/wisteriaworks/served_server.py
+++ b/src/wisteriaworks/served_server.py
@@ -50,7 +50,8 @@
     def restart(self):
         """Listen again as a new, cold incarnation."""
         self.model.restart()
-        self._abandon_jobs()
+        for scope in self._connections.values():
+            scope.cancel()
         if not self._alive:
             self._alive = True
             self._listening = trio.CancelScope()
--- /dev/null
+++ b/tests/test_holder.py
@@ -0,0 +1,345 @@
+"""Guard against overload, lost work and untrue replies of held servers."""
+
+import contextlib
+import os
+
+import msgspec
+import pytest
+import trio
+from emulation import SESSION, start_bench
+
+from wisteriaworks import held_server
+from wisteriaworks.emulated_server import list_hits
+from wisteriaworks.generated.document import DomainState
+from wisteriaworks.generated.emulator import ColdStart, FaultCommand, ServiceTime
+from wisteriaworks.generated.messages import ServerState
+from wisteriaworks.generated.subqueries import SubqueryOutcome
+from wisteriaworks.ramp import Ramp
+
+SLOW = ServiceTime(median_ms=60_000.0, sigma=0.0)
+ROUNDS = 16 * int(os.environ.get("WISTERIA_SOAK", "1"))
+WARM = {"start_cold": False}
+
+
+def _outcomes(replies):
+    return {reply.outcome for reply in replies}
+
+
+async def _wait_until(condition):
+    """Wait for a condition; the run's own time-out bounds it."""
+    while not condition():
+        await trio.sleep(0.005)
+
+
+async def test_answers_are_whole_and_belong_to_their_attempts(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        replies = await bench.run(count=30)
+        hits = list_hits("i", 20, b'{"q":1}', ("a", "b", "c"))
+        expected = [hits["abc"[n % 3]] for n in range(30)]
+        assert [reply.results for reply in replies] == expected
+        assert _outcomes(replies) == {SubqueryOutcome.ANSWERED}
+        assert bench.counters().highest_warm <= 2
+
+
+@pytest.mark.parametrize("ramped", [True, False])
+async def test_cold_start_has_no_violation(nursery, monkeypatch, ramped):
+    """Without the ramp the same load must make the cold server collapse."""
+    if not ramped:
+        monkeypatch.setattr(held_server, "Ramp", lambda slots: _Unlimited(slots))
+    async with start_bench(nursery, slots=4) as bench:
+        for _ in range(20):
+            await bench.run(count=30)
+        assert (bench.counters().violations == 0) is ramped
+        assert (bench.counters().highest_warm > 1) is ramped
+
+
+class _Unlimited(Ramp):
+    def __init__(self, slots):
+        super().__init__(slots)
+        self.limit = slots
+
+    def reset(self):
+        pass
+
+
+@pytest.mark.parametrize("command", [FaultCommand.COLLAPSE, FaultCommand.RESTART])
+async def test_server_that_becomes_cold_unannounced_is_ramped_again(nursery, command):
+    async with start_bench(nursery, cold=ColdStart(collapse_s=0.05), **WARM) as bench:
+        held = bench.holder._held["s0"]
+        while not held.ramp.is_warm:
+            await bench.run(count=20)
+        bench.fault(command)
+        await bench.run(count=20)
+        assert held.ramp.limit == 1
+        for _ in range(5):
+            await trio.sleep(0.02)
+            await bench.run(count=20)
+        assert bench.counters().violations == 0
+
+
+async def test_nothing_is_sent_after_a_drain_reply(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        await bench.run()
+        bench.fault(FaultCommand.DRAIN)
+        bench.fault(FaultCommand.LIE, state="ready")
+        (first,) = await bench.run()
+        assert (first.outcome, first.sent) == (SubqueryOutcome.DRAINING, False)
+        await bench.holder._held["s0"]._poll_once()
+        replies = await bench.run(count=10)
+        assert _outcomes(replies) == {SubqueryOutcome.DRAINING}
+        assert bench.counters().received_after_drain == 1
+        (report,) = bench.holder.collect_reports(full=False)
+        assert report.state is ServerState.DRAINING
+
+
+async def test_restart_ends_a_drain(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        bench.fault(FaultCommand.DRAIN)
+        await bench.run()
+        bench.fault(FaultCommand.RESTART)
+        held = bench.holder._held["s0"]
+        while held.status.is_draining:
+            await held._poll_once()
+        (reply,) = await bench.run()
+        assert reply.outcome is SubqueryOutcome.ANSWERED
+
+
+async def test_server_listed_as_leaving_gets_no_work(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        bench.apply(leaving=True)
+        (reply,) = await bench.run()
+        assert (reply.outcome, reply.sent) == (SubqueryOutcome.DRAINING, False)
+        assert bench.counters().received == 0
+
+
+async def test_domain_out_stops_queued_and_new_work(nursery):
+    async with start_bench(nursery, service=SLOW, **WARM) as bench:
+        replies = []
+        batch = bench.make_batch(count=5)
+        async with trio.open_nursery() as calls:
+            calls.start_soon(bench.holder.run_batch, batch, replies.append)
+            await _wait_until(lambda: bench.counters().received == 1)
+            bench.set_domain(DomainState.OUT)
+            await _wait_until(lambda: len(replies) == 4)
+            replies += await bench.run(count=3)
+            calls.cancel_scope.cancel()
+        assert _outcomes(replies[:7]) == {SubqueryOutcome.DOMAIN_OUT}
+        assert not any(reply.sent for reply in replies[:7])
+        assert bench.counters().received == 1
+        bench.set_domain(DomainState.IN_SERVICE)
+
+
+async def test_lost_lease_fences_queued_work_and_finishes_sent_work(nursery):
+    service = ServiceTime(median_ms=150.0, sigma=0.0)
+    async with start_bench(nursery, service=service, **WARM) as bench:
+        replies = []
+        batch = bench.make_batch(count=5)
+        async with trio.open_nursery() as calls:
+            calls.start_soon(bench.holder.run_batch, batch, replies.append)
+            await _wait_until(lambda: bench.counters().received == 1)
+            bench.lease.expire()
+        *fenced, last = replies
+        assert last.outcome is SubqueryOutcome.ANSWERED
+        assert _outcomes(fenced) == {SubqueryOutcome.FENCED}
+        assert bench.counters().received == 1
+
+
+async def test_lease_is_checked_after_the_wait_for_a_connection(nursery, monkeypatch):
+    """A process that freezes with a request in hand must not send it later."""
+    async with start_bench(nursery, **WARM) as bench:
+        pool = bench.holder._held["s0"]._pool
+        acquire = pool.acquire
+
+        async def freeze(fresh=False):
+            conn = await acquire(fresh)
+            bench.lease.expire()
+            return conn
+
+        monkeypatch.setattr(pool, "acquire", freeze)
+        (reply,) = await bench.run()
+        assert (reply.outcome, reply.sent) == (SubqueryOutcome.FENCED, False)
+        assert bench.counters().received == 0
+
+
+async def test_silent_connections_are_all_replaced_after_one_probe(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        held = bench.holder._held["s0"]
+        while not held.ramp.is_warm:
+            await bench.run(count=20)
+        await _wait_until(lambda: held._pool.size.idle == held.ramp.spares)
+        silent = set(held._pool._expiry)
+        bench.fault(FaultCommand.SILENCE_CONNECTIONS)
+        failures = 0
+        while silent & set(held._pool._expiry):
+            (reply,) = await bench.run(timeout_ms=100.0)
+            failures += reply.outcome is not SubqueryOutcome.ANSWERED
+        assert failures < len(silent)
+        replies = await bench.run(count=10)
+        assert _outcomes(replies) == {SubqueryOutcome.ANSWERED}
+
+
+async def test_straggler_does_not_cost_other_connections(nursery):
+    """One slow request is no sign of silence while others are answered."""
+    async with start_bench(nursery, slots=4, **WARM) as bench:
+        held = bench.holder._held["s0"]
+        while not held.ramp.is_warm:
+            await bench.run(count=20)
+        await _wait_until(lambda: held._pool.size.idle == held.ramp.spares)
+        before = set(held._pool._expiry)
+        bench.fault(FaultCommand.SLOW, factor=10_000.0)
+        await bench.run(timeout_ms=50.0)
+        bench.fault(FaultCommand.SLOW, factor=1.0)
+        await bench.run(count=10)
+        assert len(before - set(held._pool._expiry)) == 1
+
+
+async def test_refused_connection_is_not_sent(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        bench.fault(FaultCommand.KILL)
+        await trio.sleep(0.02)
+        replies = await bench.run(count=10, idempotent=False)
+        assert _outcomes(replies) == {SubqueryOutcome.FAILED}
+        assert not any(reply.sent for reply in replies)
+        (report,) = bench.holder.collect_reports(full=True)
+        assert report.state is ServerState.DOWN
+        bench.fault(FaultCommand.RESTART)
+        while _outcomes(await bench.run()) != {SubqueryOutcome.ANSWERED}:
+            await trio.sleep(0.05)
+
+
+@pytest.mark.parametrize("way", ["attempt", "requester", "deadline"])
+async def test_cancellation_reaches_the_server(nursery, way):
+    async with start_bench(nursery, service=SLOW, **WARM) as bench:
+        timeout_ms = 50.0 if way == "deadline" else 60_000.0
+        batch = bench.make_batch(count=3, timeout_ms=timeout_ms)
+        replies = []
+        async with trio.open_nursery() as calls:
+            calls.start_soon(bench.holder.run_batch, batch, replies.append)
+            await _wait_until(lambda: bench.counters().received == 1)
+            match way:
+                case "attempt":
+                    bench.holder.cancel(batch.batch_id, (0, 1, 2))
+                case "requester":
+                    calls.cancel_scope.cancel()
+        counters = bench.counters
+        await _wait_until(lambda: counters().cancelled + counters().expired == 1)
+        assert counters().received == 1
+        assert sorted(reply.attempt for reply in replies) == [0, 1, 2]
+        assert [reply.attempt for reply in replies if reply.sent] == [0]
+
+
+@pytest.mark.parametrize("command", [FaultCommand.DROP, FaultCommand.KILL])
+async def test_non_idempotent_work_runs_at_most_once(nursery, command):
+    """A reply may say "not sent" only when the server never ran the request."""
+    async with start_bench(nursery, slots=4, **WARM) as bench:
+        replies = {}
+
+        async def ask():
+            batch = bench.make_batch(idempotent=False)
+            received = []
+            await bench.holder.run_batch(batch, received.append)
+            replies[f"{batch.request_id}/a"] = received
+
+        for n in range(ROUNDS):
+            async with trio.open_nursery() as calls:
+                for _ in range(8):
+                    calls.start_soon(ask)
+                await trio.sleep(0.001 * (n % 8))
+                bench.fault(command)
+            bench.fault(FaultCommand.RESTART)
+            while _outcomes(await bench.run()) != {SubqueryOutcome.ANSWERED}:
+                await trio.sleep(0.01)
+        executions = bench.counters().executions
+        assert len(replies) == 8 * ROUNDS
+        assert all(len(received) == 1 for received in replies.values())
+        assert max(executions.values()) == 1
+        assert not any(
+            key in executions and not received[0].sent
+            for key, received in replies.items()
+        )
+        outcomes = {(r.outcome, r.sent) for (r,) in replies.values()}
+        assert (SubqueryOutcome.ANSWERED, True) in outcomes
+        assert (SubqueryOutcome.FAILED, True) in outcomes
+
+
+async def test_release_finishes_accepted_work_and_lists_the_epoch(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        replies = []
+        batch = bench.make_batch(count=10)
+        async with trio.open_nursery() as calls:
+            calls.start_soon(bench.holder.run_batch, batch, replies.append)
+            await _wait_until(lambda: bench.counters().received > 0)
+            bench.holder.start_release(["s0"])
+            refused = await bench.run()
+        assert _outcomes(replies) == {SubqueryOutcome.ANSWERED}
+        assert _outcomes(refused) == {SubqueryOutcome.NOT_HOLDER}
+        await _wait_until(bench.holder.take_released)
+        (release,) = bench.holder.take_released()
+        assert (release.server, release.epoch) == ("s0", 1)
+        bench.apply()
+        assert bench.holder.take_released() == (release,)
+        assert bench.holder.collect_reports(full=True) == ()
+
+
+async def test_server_held_again_is_cold_and_forgets_the_release(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        while not bench.holder._held["s0"].ramp.is_warm:
+            await bench.run(count=20)
+        bench.holder.start_release(["s0"])
+        bench.apply(holder=SESSION + 1)
+        bench.epoch += 1
+        bench.apply()
+        assert bench.holder._held["s0"].ramp.limit == 1
+        assert _outcomes(await bench.run()) == {SubqueryOutcome.ANSWERED}
+        assert bench.holder.take_released() == ()
+
+
+@pytest.mark.parametrize(("server", "epoch"), [("s0", 2), ("s9", 1)])
+async def test_unknown_server_or_epoch_is_not_held(nursery, server, epoch):
+    async with start_bench(nursery, **WARM) as bench:
+        batch = bench.make_batch(server=server)
+        items = [msgspec.structs.replace(item, epoch=epoch) for item in batch.items]
+        batch = msgspec.structs.replace(batch, items=tuple(items))
+        replies = []
+        await bench.holder.run_batch(batch, replies.append)
+        assert _outcomes(replies) == {SubqueryOutcome.NOT_HOLDER}
+        assert not replies[0].sent
+
+
+async def test_hopeless_work_is_refused_before_it_is_sent(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        await bench.run(count=20)
+        before = bench.counters().received
+        (late,) = await bench.run(timeout_ms=0.5)
+        assert (late.outcome, late.sent) == (SubqueryOutcome.TIMED_OUT, False)
+        replies = await bench.run(count=200)
+        full = [r for r in replies if r.outcome is SubqueryOutcome.QUEUE_FULL]
+        assert full
+        assert not any(reply.sent for reply in full)
+        assert bench.counters().received == before + 200 - len(full)
+
+
+async def test_gone_snapshot_is_reported(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        bench.fault(FaultCommand.FORGET_SNAPSHOT, snapshot=1)
+        (reply,) = await bench.run()
+        assert reply.outcome is SubqueryOutcome.SNAPSHOT_GONE
+
+
+async def test_reports_are_sent_only_when_they_change(nursery):
+    async with start_bench(nursery, **WARM) as bench:
+        await _wait_until(lambda: bench.holder._held["s0"].status.snapshots)
+        (report,) = bench.holder.collect_reports(full=False)
+        assert report.incarnation == "s0#1"
+        assert [held.snapshot for held in report.snapshots] == [1]
+        assert bench.holder.collect_reports(full=False) == ()
+        assert bench.holder.collect_reports(full=True) == (report,)
+
+
+async def test_holder_closes_its_connections(nursery):
+    async with contextlib.AsyncExitStack() as stack:
+        bench = await stack.enter_async_context(start_bench(nursery, **WARM))
+        await bench.run()
+        await stack.aclose()
+        served = bench.emulator.servers["s0"]
+        await _wait_until(lambda: not served._connections)
--- /dev/null
+++ b/tests/test_ramp.py
@@ -0,0 +1,84 @@
+"""Guard against a limit that grows too early or survives signs of a cold server."""
+
+import os
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from wisteriaworks.ramp import SLOW_RUN, STEP_BUSY_S, Ramp
+
+EXAMPLES = 100 * int(os.environ.get("WISTERIA_SOAK", "1"))
+LATENCY_S = 0.01
+steps = st.lists(
+    st.one_of(st.floats(0.001, 1.0), st.sampled_from(["reset", "send"])), max_size=300
+)
+
+
+def _warm_up(ramp):
+    sent = 0
+    while not ramp.is_warm:
+        ramp.record_success(ramp.take_permit(0), LATENCY_S)
+        sent += 1
+    return sent
+
+
+@given(st.integers(1, 8), steps)
+@settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+def test_outstanding_never_exceeds_limit_and_growth_is_earned(slots, actions):
+    ramp, permits, busy_s = Ramp(slots), [], 0.0
+    for action in actions:
+        before = ramp.limit
+        match action:
+            case "reset":
+                ramp.reset()
+                assert ramp.limit == 1
+                busy_s = 0.0
+            case "send":
+                permit = ramp.take_permit(len(permits))
+                assert (permit is None) == (len(permits) >= before)
+                permits += [permit] if permit else []
+            case latency_s if permits:
+                busy_s += latency_s
+                ramp.record_success(permits.pop(), latency_s)
+                if ramp.limit > before:
+                    assert ramp.limit == before + 1
+                    assert busy_s >= STEP_BUSY_S
+                    busy_s = 0.0
+        assert 1 <= ramp.limit <= slots
+
+
+def test_server_warms_up_after_enough_normal_work():
+    """A ramp that never ends would waste the slots."""
+    assert _warm_up(Ramp(4)) == pytest.approx(3 * STEP_BUSY_S / LATENCY_S, abs=4)
+
+
+@pytest.mark.parametrize("slow", [SLOW_RUN - 1, SLOW_RUN])
+def test_only_a_run_of_slow_replies_resets(slow):
+    """Single stragglers must not take a warm server back to one at a time."""
+    ramp = Ramp(2)
+    _warm_up(ramp)
+    results = [
+        ramp.record_success(ramp.take_permit(0), 20 * LATENCY_S) for _ in range(slow)
+    ]
+    assert any(results) == (slow == SLOW_RUN)
+    assert ramp.is_warm == (slow < SLOW_RUN)
+
+
+def test_replies_to_earlier_sends_do_not_count_after_a_reset():
+    """Work of the warm server must not warm up its cold successor."""
+    ramp = Ramp(2)
+    _warm_up(ramp)
+    permit = ramp.take_permit(0)
+    ramp.reset()
+    for _ in range(1000):
+        ramp.record_success(permit, LATENCY_S)
+    assert ramp.limit == 1
+    assert not ramp.is_current(permit)
+
+
+def test_cold_server_gets_one_connection_at_a_time():
+    ramp = Ramp(2)
+    assert ramp.may_connect(0)
+    assert not ramp.may_connect(1)
+    _warm_up(ramp)
+    assert ramp.may_connect(1)
