--- a/src/wisteriaworks/backend_emulator.py
+++ b/src/wisteriaworks/backend_emulator.py
@@ -133,7 +133,7 @@
     def _handle_fault(self, body):
         try:
             self.apply(_DECODE_FAULT(body))
-        except (msgspec.MsgspecError, KeyError) as exc:
+        except KeyError as exc:
             return make_reply(400, RefusalBody(str(exc)))
         return make_reply(200, {})
 
--- a/src/wisteriaworks/emulator_http.py
+++ b/src/wisteriaworks/emulator_http.py
@@ -50,11 +50,16 @@
         """
         while (req := await self._read_request()) is not None:
             self.busy = True
-            reply = await handler(req)
+            try:
+                reply = await handler(req)
+            except msgspec.MsgspecError as exc:
+                reply = make_reply(400, {"reason": str(exc)})
             if reply is None:
                 return
             await self._write(reply)
             self.busy = False
+            if self._http.our_state is not h11.DONE:
+                return
             self._http.start_next_cycle()
 
     async def read_until_closed(self):
@@ -101,5 +106,5 @@
     try:
         async with stream:
             await HttpConnection(stream).serve(handler)
-    except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+    except (OSError, trio.BrokenResourceError, h11.ProtocolError):
         pass
--- a/src/wisteriaworks/served_server.py
+++ b/src/wisteriaworks/served_server.py
@@ -93,7 +93,7 @@
             try:
                 await trio.sleep(self.model.profile.open_ms / 1000.0)
                 await conn.serve(functools.partial(self._handle, conn))
-            except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+            except (OSError, trio.BrokenResourceError, h11.ProtocolError):
                 pass
             finally:
                 del self._connections[conn]
--- /dev/null
+++ b/tests/test_backend_client.py
@@ -0,0 +1,87 @@
+"""Guard against replies that misstate whether a request may have run."""
+
+import functools
+
+import msgspec
+import pytest
+import trio
+
+from wisteriaworks.backend_client import End, SendRefusedError, open_connection
+from wisteriaworks.backend_protocol import SubqueryBody
+from wisteriaworks.generated.subqueries import SubqueryOutcome
+
+BODY = SubqueryBody(msgspec.Raw(b"{}"), "a", 1, 100.0, "r/b/1")
+ANSWER = b'{"results":[1],"shard":"%s","snapshot":1,"incarnation":"x1"}'
+
+
+def _make_response(status, body):
+    head = b"HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n"
+    return head % (status, len(body)) + body
+
+
+def _refuse(status, reason):
+    return _make_response(status, b'{"reason":"%s","incarnation":"x1"}' % reason)
+
+
+@pytest.fixture
+async def connect(nursery):
+    async def start(response):
+        async def answer(stream):
+            async with stream:
+                await stream.receive_some(65536)
+                await stream.send_all(response)
+
+        serve = functools.partial(trio.serve_tcp, answer, 0, host="127.0.0.1")
+        listeners = await nursery.start(serve)
+        port = listeners[0].socket.getsockname()[1]
+        return await open_connection(f"127.0.0.1:{port}")
+
+    return start
+
+
+def _allow():
+    pass
+
+
+@pytest.mark.parametrize(
+    ("response", "outcome", "sent"),
+    [
+        (_make_response(200, ANSWER % b"a"), SubqueryOutcome.ANSWERED, True),
+        (_make_response(200, ANSWER % b"b"), SubqueryOutcome.FAILED, True),
+        (_make_response(200, b"{"), SubqueryOutcome.FAILED, True),
+        (_make_response(500, b""), SubqueryOutcome.FAILED, True),
+        (_refuse(503, b"shedding"), SubqueryOutcome.SHED, False),
+        (_refuse(503, b"draining"), SubqueryOutcome.DRAINING, False),
+        (_refuse(503, b"cold"), SubqueryOutcome.COLD, False),
+        (_refuse(503, b"other"), SubqueryOutcome.FAILED, True),
+        (_refuse(500, b"shedding"), SubqueryOutcome.FAILED, True),
+        (_refuse(409, b"snapshot_gone"), SubqueryOutcome.SNAPSHOT_GONE, True),
+        (b"HTTP/1.1 200 x\r\ncontent-length: 9\r\n\r\n{", SubqueryOutcome.FAILED, True),
+        (b"garbage\r\n\r\n", SubqueryOutcome.FAILED, True),
+        (b"", SubqueryOutcome.FAILED, True),
+    ],
+)
+async def test_only_a_known_refusal_proves_that_nothing_ran(
+    connect, response, outcome, sent
+):
+    conn = await connect(response)
+    result = await conn.run_subquery(BODY, _allow)
+    assert (result.outcome, result.sent) == (outcome, sent)
+    await conn.aclose()
+
+
+async def test_failed_check_sends_no_byte(connect):
+    conn = await connect(_make_response(200, ANSWER % b"a"))
+
+    def forbid():
+        raise SendRefusedError(SubqueryOutcome.FENCED)
+
+    result = await conn.run_subquery(BODY, forbid)
+    assert (result.end, result.sent) == (End.NOT_SENT, False)
+    assert result.outcome is SubqueryOutcome.FENCED
+
+
+async def test_broken_status_is_no_status(connect):
+    conn = await connect(_make_response(200, b"{"))
+    assert await conn.read_status() is None
+    await conn.aclose()
