--- a/src/wisteriaworks/connection_pool.py
+++ b/src/wisteriaworks/connection_pool.py
@@ -20,7 +20,7 @@
 MAX_AGE_JITTER = 0.2
 # Past this idle time the server may have closed its side unnoticed.
 STALE_IDLE_S = 1.0
-UPKEEP_INTERVAL_S = 0.25
+UPKEEP_INTERVAL_S = 0.1
 # A single unanswered request is usually a straggler.
 STRIKES_BEFORE_PROBE = 2
 
@@ -39,13 +39,18 @@
 
 
 class ConnectionPool:
-    """Open, reuse and close the connections to one server."""
+    """Open, reuse and close the connections to one server.
 
-    def __init__(self, address, max_connections, ramp, rng):
+    ``on_all_closed()`` is called when the server has closed all idle
+    connections, which is the first sign of a restart.
+    """
+
+    def __init__(self, address, max_connections, ramp, rng, on_all_closed):
         self._address = address
         self._max = max_connections
         self._ramp = ramp
         self._rng = rng
+        self._on_all_closed = on_all_closed
         self._idle = []
         self._expiry = {}
         self._suspects = set()
@@ -79,12 +84,13 @@
     async def release(self, conn):
         """Take a connection back, or close it if it is no longer usable."""
         self._heard_at = max(self._heard_at, conn.heard_at)
-        if conn in self._expiry and conn.is_usable and conn not in self._suspects:
+        if conn in self._expiry and conn.is_idle and conn not in self._suspects:
             self._strikes = 0
             self._idle.append(conn)
             self._notify()
         else:
-            await self.discard(conn)
+            with trio.CancelScope(shield=True):
+                await self.discard(conn)
 
     async def discard(self, conn):
         """Close a connection."""
@@ -131,12 +137,23 @@
         now = trio.current_time()
         while self._idle:
             conn = self._idle.pop()
+            if not conn.is_usable:
+                self._idle.append(conn)
+                await self._drop_closed()
+                continue
             is_stale = fresh and now - conn.idle_since >= STALE_IDLE_S
-            if conn.is_usable and not is_stale and conn not in self._suspects:
+            if not is_stale and conn not in self._suspects:
                 return conn
             await self.discard(conn)
         return None
 
+    async def _drop_closed(self):
+        closed = [conn for conn in self._idle if not conn.is_usable]
+        if closed and len(closed) == len(self._idle):
+            self._on_all_closed()
+        for conn in closed:
+            await self.discard(conn)
+
     async def _open(self):
         self._connecting += 1
         try:
@@ -160,24 +177,22 @@
         self._notify()
 
     def _notify(self):
-        self._changed.set()
-        self._changed = trio.Event()
+        if self._changed.statistics().tasks_waiting:
+            self._changed.set()
+            self._changed = trio.Event()
 
     async def _run_upkeep(self):
         while True:
             await self._close_old()
             with contextlib.suppress(ConnectFailedError):
                 await self._open_spares()
-            with trio.move_on_after(UPKEEP_INTERVAL_S):
-                await self._changed.wait()
-                # Several changes in a row are handled together.
-                await trio.sleep(UPKEEP_INTERVAL_S / 10)
+            await trio.sleep(UPKEEP_INTERVAL_S)
 
     async def _close_old(self):
+        await self._drop_closed()
         now = trio.current_time()
-        for conn in tuple(self._idle):
-            if self._expiry[conn] <= now or not conn.is_usable:
-                await self.discard(conn)
+        for conn in [conn for conn in self._idle if self._expiry[conn] <= now]:
+            await self.discard(conn)
 
     async def _open_spares(self):
         while len(self._expiry) < self._ramp.spares and self._may_open():
--- a/src/wisteriaworks/served_server.py
+++ b/src/wisteriaworks/served_server.py
@@ -50,7 +50,8 @@
     def restart(self):
         """Listen again as a new, cold incarnation."""
         self.model.restart()
-        self._abandon_jobs()
+        for scope in self._connections.values():
+            scope.cancel()
         if not self._alive:
             self._alive = True
             self._listening = trio.CancelScope()
@@ -92,7 +93,7 @@
             try:
                 await trio.sleep(self.model.profile.open_ms / 1000.0)
                 await conn.serve(functools.partial(self._handle, conn))
-            except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+            except (OSError, trio.BrokenResourceError, h11.ProtocolError):
                 pass
             finally:
                 del self._connections[conn]
