--- a/tests/test_merge.py
+++ b/tests/test_merge.py
@@ -71,6 +71,8 @@
         ((10, 10, 10), 2000, 3),
         ((10, 1900, 10), 2000, 2),
         ((900, 900, 10), 2000, 2),
+        # The smallest replies first keep the most shards.
+        ((1000, 700, 700), 2150, 2),
         ((10, 10, 10), 400, 0),
     ],
 )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -114,6 +114,9 @@
     moved = Replica("a", "holder-c", 2, 2)
     router.report_load(B, 9, 0.1)
     assert router.pick((moved, B), (), 0.1) is moved
+    _eject(router, moved, 0.2)
+    router.report_load(B, 9, 0.2)
+    assert router.pick((moved, B), (), 0.2) is B
 
 
 def test_repartition_moves_only_keys_of_new_shards():
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -14,6 +14,7 @@
 from wisteriaworks.errors import ErrorKind
 from wisteriaworks.generated.subqueries import SubqueryOutcome as Outcome
 from wisteriaworks.hedging import RESENDS_PER_REQUEST
+from wisteriaworks.routing import pick_keyed_shard
 from wisteriaworks.search import ANSWER_ALLOWANCE_S, SearchOutcome
 
 SOAK = int(os.environ.get("WISTERIA_SOAK", "1"))
@@ -77,6 +78,21 @@
     assert len(shards) == 1
 
 
+async def test_keyed_search_uses_a_snapshot_that_has_its_shard(autojump_clock):
+    """Other shards' coverage must not cost the one shard that is asked for."""
+    key, names = "CB1234AB", [f"spaces-s{number:02}" for number in range(4)]
+    asked = names.index(pick_keyed_shard(key, names))
+    view = fakes.make_view(replicas=1)
+    for number in range(4):
+        server = f"spaces-{number}-0"
+        reports = fakes.make_reports(server, 4, (1,) if number == asked else (2,))
+        view = fakes.change_route(view, server, snapshots=reports)
+    _, answer = await fakes.run_search(
+        lambda item, batch, count: Act(), view, search="keyed", key=key
+    )
+    assert (answer.outcome, answer.snapshot) == (SearchOutcome.COMPLETE, 1)
+
+
 def _gone_after_first(item, batch, count):
     """Lose snapshot 1 on one shard while the others have answered from it."""
     if batch.snapshot == 1 and item.shard == "spaces-s03":
@@ -91,6 +107,7 @@
         # A repartition changes the number of shards.
         (fakes.make_view(shards=6, snapshots=(2,)), 2, SearchOutcome.COMPLETE),
         (fakes.make_view(snapshots=(1,)), 1, SearchOutcome.PARTIAL),
+        (fakes.make_view(snapshots=(0,)), 1, SearchOutcome.PARTIAL),
     ],
 )
 async def test_repartition_half_way(autojump_clock, newer_view, snapshot, outcome):
