Report a failed connect of a single attempt as not run

Cause: the attempt's own deadline and the stream's came at the same instant, so a connect that never finished was reported as unknown although RpcError would have said that nothing was sent. A message that could not be decoded ended the whole search, and a slow derivation of the catalogue could leave a negative time-out. Tried: a stream that fails to connect until its deadline, and one that yields a message that cannot be read.

--- a/src/wisteriaworks/fan_out.py
+++ b/src/wisteriaworks/fan_out.py
@@ -2,6 +2,7 @@
 
 import functools
 import itertools
+import math
 from collections import defaultdict
 from dataclasses import dataclass
 
@@ -82,6 +83,8 @@
         self._attempts = []
         self._timers = Timers()
         self._wake = trio.Event()
+        # Time at which the main task wakes by itself; it is awake if infinite.
+        self._waits_until = -math.inf
         self._next_task = None
         self._closed = False
 
@@ -108,8 +111,10 @@
     async def _wait(self):
         ends_at = self._task.ends_at
         while self._pending and self._next_task is None:
-            with trio.move_on_at(min(ends_at, self._timers.next_due())):
+            self._waits_until = min(ends_at, self._timers.next_due())
+            with trio.move_on_at(self._waits_until):
                 await self._wake.wait()
+            self._waits_until = -math.inf
             now = trio.current_time()
             if now >= ends_at:
                 return
@@ -133,6 +138,9 @@
 
     def _send_primaries(self):
         now = trio.current_time()
+        # Deriving the catalogue may have taken the rest of the time.
+        if not self._has_time(now):
+            return
         by_index = defaultdict(list)
         for progress in self._shards:
             replica = self._shared.router.pick(progress.plan.replicas, (), now)
@@ -204,6 +212,9 @@
                 failure = AttemptOutcome.NOT_SENT
                 if exc.sent:
                     failure = AttemptOutcome.BROKEN
+            except msgspec.MsgspecError:
+                # A message that cannot be read must not end the whole search.
+                failure = AttemptOutcome.MALFORMED
         self._fail_call(call, failure)
 
     async def _receive_all(self, call, replies):
@@ -327,9 +338,9 @@
             self._add_timer(now + HEDGE_RECHECK_SHARE * p95_s, recheck)
 
     def _add_timer(self, due, callback):
-        if due < self._timers.next_due():
-            self._wake.set()
         self._timers.add(due, callback)
+        if due < self._waits_until:
+            self._wake.set()
 
 
 def _accept(progress, reply):
--- a/src/wisteriaworks/search.py
+++ b/src/wisteriaworks/search.py
@@ -107,6 +107,8 @@
         if replica is None:
             return refuse(NO_REPLICA)
         ends_at = request.deadline - ANSWER_ALLOWANCE_S
+        if now + HOP_ALLOWANCE_S >= ends_at:
+            return refuse(ErrorKind.DEADLINE_PASSED.value)
         batch = SubqueryBatch(
             batch_id=next(self._batch_ids),
             request_id=request.request_id,
--- a/src/wisteriaworks/single_attempt.py
+++ b/src/wisteriaworks/single_attempt.py
@@ -21,6 +21,8 @@
 from wisteriaworks.merge import Hit, decode_hits
 
 ATTEMPT_NUMBER = 1
+# The stream's time-out comes first, because it knows whether anything was sent.
+CONNECT_MARGIN_S = 0.001
 
 
 class OnceOutcome(Enum):
@@ -91,7 +93,8 @@
 
 async def _ask(peers, address, batch, ends_at):
     """Return the reply or None, the outcome, and whether it may have been sent."""
-    timeout_s = ends_at - trio.current_time()
+    stream_ends_at = ends_at - CONNECT_MARGIN_S
+    timeout_s = stream_ends_at - trio.current_time()
     try:
         with trio.move_on_at(ends_at):
             async with peers.stream(address, batch, timeout_s) as replies:
@@ -100,11 +103,19 @@
                         return _read_reply(reply, batch.snapshot)
             return None, AttemptOutcome.NO_REPLY, True
     except RpcError as exc:
-        outcome = AttemptOutcome.BROKEN if exc.sent else AttemptOutcome.NOT_SENT
-        return None, outcome, exc.sent
+        late = trio.current_time() >= stream_ends_at
+        return None, _name_failure(exc.sent, late), exc.sent
+    except msgspec.MsgspecError:
+        return None, AttemptOutcome.MALFORMED, True
     return None, AttemptOutcome.TIMED_OUT, True
 
 
+def _name_failure(sent, late):
+    if not sent:
+        return AttemptOutcome.NOT_SENT
+    return AttemptOutcome.TIMED_OUT if late else AttemptOutcome.BROKEN
+
+
 def _read_reply(reply, snapshot):
     # An answer proves that the request ran, whatever the flag says.
     sent = reply.sent or reply.outcome is SubqueryOutcome.ANSWERED
--- a/tests/test_single_attempt.py
+++ b/tests/test_single_attempt.py
@@ -6,6 +6,7 @@
 import trio
 from search_fakes import Act
 
+from wisteriaworks.errors import RpcError
 from wisteriaworks.generated.subqueries import SubqueryOutcome as Outcome
 from wisteriaworks.search import ANSWER_ALLOWANCE_S
 from wisteriaworks.single_attempt import OnceOutcome
@@ -70,11 +71,31 @@
     assert not peers.asked
 
 
-async def test_reply_to_another_attempt_is_ignored(autojump_clock):
-    class Confused(fakes.FakePeers):
-        async def _replay(self, batch, events, deadline):
-            for _, reply in events:
-                yield msgspec.structs.replace(reply, attempt=2)
+async def _answer_another_attempt(events, deadline):
+    for _, reply in events:
+        yield msgspec.structs.replace(reply, attempt=2)
 
-    result = await _run_once(Confused())
-    assert (result.outcome, result.reason) == (UNKNOWN, "no_reply")
+
+async def _answer_garbage(events, deadline):
+    yield msgspec.json.decode(b"[")
+
+
+async def _fail_to_connect(events, deadline):
+    await trio.sleep_until(deadline)
+    raise RpcError("cannot connect in time", sent=False)
+    yield
+
+
+@pytest.mark.parametrize(
+    ("replay", "outcome", "reason"),
+    [
+        (_answer_another_attempt, UNKNOWN, "no_reply"),
+        (_answer_garbage, UNKNOWN, "malformed"),
+        (_fail_to_connect, NOT_RUN, "not_sent"),
+    ],
+)
+async def test_unusual_streams(autojump_clock, replay, outcome, reason):
+    peers = fakes.FakePeers()
+    peers._replay = lambda batch, events, deadline: replay(events, deadline)
+    result = await _run_once(peers)
+    assert (result.outcome, result.reason) == (outcome, reason)
