--- a/src/wisteriaworks/assigner.py
+++ b/src/wisteriaworks/assigner.py
@@ -68,8 +68,10 @@
     async def step(self):
         """Do what is due now. Raises NotLeaderError or ProposalUnknownError."""
         node = self._node
-        if not node.replica.is_leader or node.is_stopping:
+        if not node.replica.is_leader:
             return node.follow()
+        if node.is_stopping:
+            return None
         leader = node.lead()
         self._note_time(leader)
         await self._close_sessions(leader)
