Lock the data folder and name the reason when control cannot serve

Cause: a second process on the same data folder appended to the log of the running one before it found its address in use, and the message only named a group of exceptions.

Result: the log file is locked while a member runs.

--- a/src/wisteriaworks/assigner.py
+++ b/src/wisteriaworks/assigner.py
@@ -162,7 +162,7 @@
             now - self._sessions_changed_at >= SETTLE_S
             and now - self._rebalanced_at >= REBALANCE_INTERVAL_S
             and not self._requested
-            and servers.keys() == holders.keys()
+            and servers.keys() <= holders.keys()
             and all(entry.mode is EntryMode.ACTIVE for entry in entries)
         )
         if not is_settled:
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -126,6 +126,13 @@
     return is_drained
 
 
+def _find_first(exc):
+    """Return the first exception inside nested groups."""
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return exc
+
+
 class _SettingsCommand(Command):
     arguments: ClassVar[list[Argument]] = [
         argument("settings", "Settings file of this member (YAML).")
@@ -162,8 +169,8 @@
         program = ControlProgram(cfg, create_metrics(PROGRAM, cfg.name))
         try:
             return trio.run(functools.partial(run_until_signal, program))
-        except* OSError as group:
-            reason = str(group.exceptions[0])
+        except* (OSError, WisteriaError) as group:
+            reason = _find_first(group)
         raise SettingsError(f"cannot serve: {reason}")
 
 
--- a/src/wisteriaworks/single_replica.py
+++ b/src/wisteriaworks/single_replica.py
@@ -1,5 +1,7 @@
 """A replicated log of one member, with the interface of ``replica.Replica``."""
 
+import contextlib
+import fcntl
 import os
 import struct
 import uuid
@@ -57,7 +59,10 @@
 
     def __enter__(self):
         if self._path.exists():
-            self._open()
+            with contextlib.ExitStack() as stack:
+                stack.push(self.__exit__)
+                self._open()
+                stack.pop_all()
         return self
 
     def __exit__(self, *exc_info):
@@ -103,9 +108,9 @@
         return Acknowledged()
 
     def _open(self):
-        data = self._path.read_bytes()
-        whole = self._replay(data)
         self._file = self._path.open("r+b")
+        _lock(self._file)
+        whole = self._replay(self._file.read())
         self._file.truncate(whole)
         self._file.seek(whole)
         self._append(_TERM, b"")
@@ -140,6 +145,14 @@
         os.fsync(self._file.fileno())
 
 
+def _lock(file):
+    # Two processes on one data folder would write over each other's commands.
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as exc:
+        raise SettingsError("another process uses the data folder") from exc
+
+
 def _read_identity(folder):
     return (folder / _IDENTITY_NAME).read_text()
 
--- a/tests/test_assigner.py
+++ b/tests/test_assigner.py
@@ -275,6 +275,10 @@
     await trio.sleep(2 * BEAT_S)
     assert system.machine.holdings == before
     assert len(one.list_held()) == len(two.list_held()) == SETS
+    await system.call(propose(3, make_document(["ab"] * (SETS - 1))))
+    [three] = system.add("a2")
+    await trio.sleep(assigner.SETTLE_S + 2.0)
+    assert three.list_held()
 
 
 async def test_leaving_server_is_marked_in_its_route(system, autojump_clock):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -48,15 +48,20 @@
 
     async def start():
         program = control.ControlProgram(cfg, create_unexported_metrics())
-        scope = trio.CancelScope()
+        scope, ended = trio.CancelScope(), trio.Event()
 
         async def run(task_status):
             with scope:
                 await program.run(task_status=task_status)
+            ended.set()
+
+        async def stop():
+            scope.cancel()
+            await ended.wait()
 
         listeners = await nursery.start(run)
         port = listeners[0].socket.getsockname()[1]
-        return program, f"127.0.0.1:{port}", scope
+        return program, f"127.0.0.1:{port}", stop
 
     return start
 
@@ -127,11 +132,11 @@
 
 async def test_state_survives_a_restart(start):
     """A restarted member must know its log, and lead under a new term."""
-    _, address, scope = await start()
+    _, address, stop = await start()
     async with ControlClient([address]) as client:
         await client.call(propose(0, make_document(["a"])), 2.0)
         before = await make_entry(client, "a1").heartbeat()
-    scope.cancel()
+    await stop()
     _, address, _ = await start()
     async with ControlClient([address]) as client:
         status = await client.call(messages.ReadStatus(), 2.0)
--- a/tests/test_single_replica.py
+++ b/tests/test_single_replica.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wisteriaworks.errors import SettingsError
 from wisteriaworks.generated.settings import ControlSettings
 from wisteriaworks.single_replica import (
     NotLeaderError,
@@ -51,6 +52,12 @@
     assert (await run(cfg))[0] == [(1, b"a"), (2, b"c")]
 
 
+async def test_two_processes_cannot_use_one_folder(cfg):
+    initialise_member(cfg)
+    with SingleReplica(cfg, Recorder()), pytest.raises(SettingsError):
+        await run(cfg)
+
+
 async def test_member_that_was_not_initialised_does_not_lead(cfg):
     with SingleReplica(cfg, Recorder()) as replica:
         with pytest.raises(NotLeaderError):
