--- a/src/wisteriaworks/route_table.py
+++ b/src/wisteriaworks/route_table.py
@@ -12,7 +12,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteChanges:
-    """Hold what an entry needs to bring its table up to date."""
+    """Hold what an entry needs to bring its table up to date.
+
+    ``removed`` may name servers that the entry never heard of.
+    """
 
     version: int
     full: bool
