--- a/src/wisteriaworks/assigner.py
+++ b/src/wisteriaworks/assigner.py
@@ -68,8 +68,10 @@
     async def step(self):
         """Do what is due now. Raises NotLeaderError or ProposalUnknownError."""
         node = self._node
-        if not node.replica.is_leader or node.is_stopping:
+        if not node.replica.is_leader:
             return node.follow()
+        if node.is_stopping:
+            return None
         leader = node.lead()
         self._note_time(leader)
         await self._close_sessions(leader)
@@ -160,7 +162,7 @@
             now - self._sessions_changed_at >= SETTLE_S
             and now - self._rebalanced_at >= REBALANCE_INTERVAL_S
             and not self._requested
-            and servers.keys() == holders.keys()
+            and servers.keys() <= holders.keys()
             and all(entry.mode is EntryMode.ACTIVE for entry in entries)
         )
         if not is_settled:
@@ -197,8 +199,6 @@
             name = _choose_release(group, given.holders, wanted)
             if name and not any(server.name in self._requested for server in group):
                 self._requested[name] = holdings[name]
-        for name in given.holders.keys() - self._node.machine.servers.keys():
-            self._requested[name] = holdings[name]
 
     def _list_releases(self):
         releases = {}
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -143,6 +143,12 @@
     return is_drained
 
 
+def _find_first(exc):
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return exc
+
+
 class _SettingsCommand(Command):
     arguments: ClassVar[list[Argument]] = [
         argument("settings", "Settings file of this member (YAML).")
@@ -179,11 +185,11 @@
         program = ControlProgram(cfg, create_metrics(PROGRAM, cfg.name))
         try:
             return trio.run(functools.partial(run_until_signal, program))
-        except* OSError as group:
-            reason = str(group.exceptions[0])
-        except* WisteriaError as group:
-            raise group.exceptions[0] from None
-        raise SettingsError(f"cannot serve: {reason}")
+        except* (OSError, WisteriaError) as group:
+            exc = _find_first(group)
+        if isinstance(exc, WisteriaError):
+            raise exc
+        raise SettingsError(f"cannot serve: {exc}")
 
 
 def make_application():
