Add the console with sign-in, status and domain moves

Cause: operators who do not use the command line need to see the state of the system and to drain and return failure domains.

Tried: wisteria-console serves rendered pages over hypercorn. Sessions are kept in memory; every form has a token bound to the session's cookie, and posts from a foreign origin are refused. A move carries its operation id and version in the form. The session keeps the proposed message by operation id, because control takes another document under the same id for another change. The referrer policy is same-origin: with no-referrer browsers send "Origin: null" with the console's own forms.

--- /dev/null
+++ b/src/wisteriaworks/console.py
@@ -0,0 +1,84 @@
+"""The program ``wisteria-console``: forms for operators' browsers."""
+
+import contextlib
+import sys
+
+import trio
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from wisteriaworks import __version__
+from wisteriaworks.admin import AdminApp, serve_http
+from wisteriaworks.console_app import ConsoleApp
+from wisteriaworks.console_sessions import check_operators
+from wisteriaworks.control_client import ControlClient
+from wisteriaworks.errors import WisteriaError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.settings import ConsoleSettings
+from wisteriaworks.logs import configure_logs
+from wisteriaworks.metrics import create_metrics
+from wisteriaworks.settings import load_settings
+from wisteriaworks.shutdown import EXIT_FORCED, wait_for_stop, wait_until
+
+PROGRAM = "wisteria-console"
+# The longest page waits for three tries of a change, 5 s each.
+STOP_TIMEOUT_S = 20.0
+
+
+async def run_console(cfg):
+    """Serve until SIGTERM, finish running requests and return the exit code."""
+    create_metrics(PROGRAM, cfg.name)
+    async with contextlib.AsyncExitStack() as stack:
+        client = await stack.enter_async_context(ControlClient(cfg.control))
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        stop = await nursery.start(wait_for_stop)
+        app = ConsoleApp(cfg, client, trio.current_time)
+        await nursery.start(serve_http, app, cfg.listen)
+        await nursery.start(serve_http, AdminApp(lambda: not stop.is_set()), cfg.admin)
+        log_event(Event.PROCESS_STARTED, listen=cfg.listen)
+        await stop.wait()
+        code = await _finish(app)
+        nursery.cancel_scope.cancel()
+    return code
+
+
+async def _finish(app):
+    log_event(Event.PROCESS_STOPPING)
+    with trio.move_on_after(STOP_TIMEOUT_S) as scope:
+        await wait_until(lambda: app.running == 0)
+    if scope.cancelled_caught:
+        log_event(Event.STOP_TIMED_OUT, running=app.running)
+        return EXIT_FORCED
+    log_event(Event.PROCESS_STOPPED)
+    return 0
+
+
+class RunCommand(Command):
+    """Run the console until SIGTERM asks for a graceful stop."""
+
+    name = "run"
+    description = "Run the console until SIGTERM asks for a graceful stop."
+    arguments = (argument("settings", "YAML file with the settings of the console."),)
+
+    def handle(self):
+        """Run the console."""
+        try:
+            cfg = load_settings(self.argument("settings"), ConsoleSettings)
+            check_operators(cfg.operators)
+        except WisteriaError as exc:
+            self.line_error(f"{PROGRAM}: {exc.message}")
+            return exc.exit_code
+        configure_logs(cfg.log, PROGRAM, cfg.name)
+        return trio.run(run_console, cfg)
+
+
+def main():
+    """Run the command line."""
+    application = Application(PROGRAM, __version__)
+    application.add(RunCommand())
+    sys.exit(application.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wisteriaworks/console_app.py
@@ -0,0 +1,153 @@
+"""Route the requests of browsers to the pages, as an ASGI app."""
+
+import dataclasses
+from dataclasses import dataclass
+
+from wisteriaworks import (
+    console_domains,
+    console_sign_in,
+    console_status,
+)
+from wisteriaworks.asgi import run_lifespan, send_response
+from wisteriaworks.console_control import ConsoleControl
+from wisteriaworks.console_http import (
+    SECURITY_HEADERS,
+    PageError,
+    Request,
+    Response,
+    is_foreign,
+    read_request,
+    redirect,
+)
+from wisteriaworks.console_pages import Pages
+from wisteriaworks.console_sessions import SessionStore
+from wisteriaworks.errors import ERROR_ANSWERS, ControlError, RequestError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.settings import ConsoleSettings
+
+STYLE = "/style.css"
+SIGN_IN = "/sign-in"
+ROLLOUT = "/rollout"
+_FORGED = "The form was not made for this session. Go back, reload and try again."
+_EMPTY = Request("GET", "", {}, {}, "", "", "")
+# Pages that the browser reloads by itself; they do not keep a session alive.
+_REFRESHED = frozenset({ROLLOUT})
+_ROUTES = {
+    ("GET", SIGN_IN): console_sign_in.show_sign_in,
+    ("POST", SIGN_IN): console_sign_in.sign_in,
+    ("POST", "/sign-out"): console_sign_in.sign_out,
+    ("GET", "/status"): console_status.show_status,
+    ("GET", "/status/servers"): console_status.show_servers,
+    ("GET", ROLLOUT): console_status.show_rollout,
+    ("GET", "/domains"): console_domains.show_domains,
+    ("GET", console_domains.DRAIN): console_domains.show_confirmation,
+    ("POST", console_domains.DRAIN): console_domains.move_domain,
+    ("GET", console_domains.RETURN): console_domains.show_confirmation,
+    ("POST", console_domains.RETURN): console_domains.move_domain,
+}
+_PATHS = frozenset(path for _, path in _ROUTES)
+
+
+@dataclass(frozen=True, slots=True)
+class Console:
+    """Hold what the pages share."""
+
+    cfg: ConsoleSettings
+    control: ConsoleControl
+    sessions: SessionStore
+    pages: Pages
+
+
+class ConsoleApp:
+    """Answer the requests of operators' browsers."""
+
+    def __init__(self, cfg, client, clock):
+        sessions = SessionStore(cfg.session_s, clock)
+        pages = Pages(sessions.create_token)
+        self._console = Console(cfg, ConsoleControl(client), sessions, pages)
+        self.running = 0
+
+    async def __call__(self, scope, receive, send):
+        match scope["type"]:
+            case "lifespan":
+                await run_lifespan(receive, send)
+            case "http":
+                await self._run(scope, receive, send)
+
+    async def _run(self, scope, receive, send):
+        self.running += 1
+        try:
+            response = await self._answer(scope, receive)
+            headers = (*response.headers, *SECURITY_HEADERS)
+            await send_response(send, response.status, response.body, headers)
+        finally:
+            self.running -= 1
+
+    async def _answer(self, scope, receive):
+        try:
+            req = await read_request(scope, receive)
+        except (PageError, RequestError) as exc:
+            return self._explain(_EMPTY, exc)
+        session = self._console.sessions.find(req.cookie)
+        req = dataclasses.replace(req, session=session)
+        try:
+            return await self._route(req)
+        except (PageError, RequestError, ControlError) as exc:
+            return self._explain(req, exc)
+        except Exception as exc:
+            log_event(Event.HANDLER_FAILED, path=req.path, reason=repr(exc))
+            text = "The program failed; its log has the event HANDLER_FAILED."
+            return self._console.pages.render_message(req, 500, "Failure", text)
+
+    async def _route(self, req):
+        if req.path == STYLE:
+            return self._console.pages.render_style()
+        if req.path == "/":
+            return redirect("/status")
+        handler = _find_handler(req)
+        if req.method == "POST":
+            self._check_token(req)
+        if req.session is None and req.path != SIGN_IN:
+            return redirect(SIGN_IN)
+        if req.session is not None and req.path not in _REFRESHED:
+            self._console.sessions.renew(req.session)
+        return await handler(self._console, req)
+
+    def _check_token(self, req):
+        sessions = self._console.sessions
+        if is_foreign(req) or not sessions.is_token(req.cookie, req.get_field("token")):
+            raise PageError(403, _FORGED)
+
+    def _explain(self, req, exc) -> Response:
+        pages = self._console.pages
+        match exc:
+            case ControlError():
+                return pages.render(
+                    req,
+                    "control_error.html",
+                    503,
+                    reason=exc.message,
+                    is_change="operation_id" in req.form,
+                    may_be_accepted=exc.sent,
+                    fields=_list_hidden(req),
+                )
+            case RequestError():
+                status = ERROR_ANSWERS[exc.kind].http_status
+            case _:
+                status = exc.status
+        return pages.render_message(req, status, "Not done", exc.message)
+
+
+def _find_handler(req):
+    handler = _ROUTES.get((req.method, req.path))
+    if handler is None and req.path in _PATHS:
+        raise PageError(405, "The page does not take this method.")
+    if handler is None:
+        raise PageError(404, "There is no such page.")
+    return handler
+
+
+def _list_hidden(req):
+    """Return the fields with which the same change is sent again."""
+    names = (name for name in req.form if name != "token")
+    return [(name, value) for name in names for value in req.form[name]]
--- /dev/null
+++ b/src/wisteriaworks/console_control.py
@@ -0,0 +1,43 @@
+"""Call control for the console."""
+
+import trio
+
+from wisteriaworks.errors import ControlError
+from wisteriaworks.generated.messages import ReadConfiguration, ReadStatus
+
+# Covers an election of about 3 s with one try of each member after it.
+CALL_TIMEOUT_S = 5.0
+SEND_ATTEMPTS = 3
+RESEND_DELAY_S = 0.5
+
+
+class ConsoleControl:
+    """Read and propose the configuration and read the status."""
+
+    def __init__(self, client):
+        self._client = client
+
+    async def read_configuration(self):
+        """Return the reply with the document in force. Raises ControlError."""
+        return await self._client.call(ReadConfiguration(), CALL_TIMEOUT_S)
+
+    async def read_status(self):
+        """Return what the leader knows of the system. Raises ControlError."""
+        return await self._client.call(ReadStatus(), CALL_TIMEOUT_S)
+
+    async def propose(self, message):
+        """Return the reply to a ``ProposeConfiguration``.
+
+        Control keeps the reply with the operation id, so a change whose answer
+        was lost is sent again. Raises ControlError; its ``sent`` says whether
+        the change may have been accepted.
+        """
+        sent = False
+        for attempt in range(1, SEND_ATTEMPTS + 1):
+            try:
+                return await self._client.call(message, CALL_TIMEOUT_S)
+            except ControlError as exc:
+                sent = sent or exc.sent
+                if attempt == SEND_ATTEMPTS:
+                    raise ControlError(exc.message, sent=sent) from exc
+            await trio.sleep(RESEND_DELAY_S)
--- /dev/null
+++ b/src/wisteriaworks/console_http.py
@@ -0,0 +1,123 @@
+"""Read the requests of browsers and hold the answers to them."""
+
+import http.cookies
+import urllib.parse
+from dataclasses import dataclass
+
+from wisteriaworks.asgi import read_body
+from wisteriaworks.console_sessions import Session
+from wisteriaworks.errors import WisteriaError
+
+COOKIE = "wisteria_session"
+# The largest form, an index with its references, is far below this.
+MAX_BODY_BYTES = 65536
+MAX_FIELDS = 2000
+SECURITY_HEADERS = (
+    (
+        b"content-security-policy",
+        b"default-src 'none'; style-src 'self'; form-action 'self'; "
+        b"base-uri 'none'; frame-ancestors 'none'",
+    ),
+    (b"x-frame-options", b"DENY"),
+    (b"x-content-type-options", b"nosniff"),
+    # With no-referrer browsers would send "Origin: null" with the own forms.
+    (b"referrer-policy", b"same-origin"),
+    (b"cache-control", b"no-store"),
+)
+HTML = b"text/html; charset=utf-8"
+CSS = b"text/css; charset=utf-8"
+
+
+class PageError(WisteriaError):
+    """Report a request that gets an error page with an HTTP status."""
+
+    def __init__(self, status, message):
+        super().__init__(message)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold one request; a name in ``query`` and ``form`` has all its values."""
+
+    method: str
+    path: str
+    query: dict[str, list[str]]
+    form: dict[str, list[str]]
+    host: str
+    origin: str
+    cookie: str
+    session: Session | None = None
+
+    def get_query(self, name):
+        """Return the first value in the address, or an empty text."""
+        return self.query.get(name, [""])[0]
+
+    def get_field(self, name):
+        """Return the first value in the form, or an empty text."""
+        return self.form.get(name, [""])[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Hold one answer."""
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ((b"content-type", HTML),)
+
+
+async def read_request(scope, receive):
+    """Return the request. Raises PageError or RequestError."""
+    headers = {name: value.decode("latin-1") for name, value in scope["headers"]}
+    body = b""
+    if scope["method"] == "POST":
+        body = await read_body(receive, MAX_BODY_BYTES)
+    return Request(
+        method=scope["method"],
+        path=scope["path"],
+        query=_parse_fields(scope["query_string"]),
+        form=_parse_fields(body),
+        host=headers.get(b"host", ""),
+        origin=headers.get(b"origin", ""),
+        cookie=_read_cookie(headers.get(b"cookie", "")),
+    )
+
+
+def is_foreign(req):
+    """Say whether a browser names another site as the origin of a request."""
+    # The scheme is left out: a proxy in front may end TLS.
+    return bool(req.origin) and urllib.parse.urlsplit(req.origin).netloc != req.host
+
+
+def redirect(path, *headers, **query):
+    """Return the answer that sends the browser on to a page."""
+    if query:
+        path = f"{path}?{urllib.parse.urlencode(query)}"
+    return Response(303, b"", ((b"location", path.encode()), *headers))
+
+
+def set_cookie(value):
+    """Return the header that sets the session cookie."""
+    text = f"{COOKIE}={value}; Path=/; HttpOnly; SameSite=Strict"
+    return b"set-cookie", text.encode()
+
+
+def _parse_fields(data):
+    try:
+        return urllib.parse.parse_qs(
+            data.decode(),
+            keep_blank_values=True,
+            errors="strict",
+            max_num_fields=MAX_FIELDS,
+        )
+    except ValueError as exc:
+        raise PageError(400, "The form could not be read.") from exc
+
+
+def _read_cookie(text):
+    try:
+        cookies = http.cookies.SimpleCookie(text)
+    except http.cookies.CookieError:
+        return ""
+    return cookies[COOKIE].value if COOKIE in cookies else ""
--- /dev/null
+++ b/src/wisteriaworks/console_proposals.py
@@ -0,0 +1,72 @@
+"""Propose changes of the configuration so that a resent form applies once."""
+
+import uuid_utils
+
+from wisteriaworks.console_http import PageError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.messages import ConfigurationReply, ProposeResult
+from wisteriaworks.uuid7 import parse_uuid7
+
+# Enough for forms that are still open in a browser. For older ones control
+# has the answer.
+MAX_KEPT = 20
+
+
+async def propose(console, session, message):
+    """Return control's reply to a change; a resent one gets the first answer.
+
+    Raises ControlError if the outcome is not known and PageError if control
+    refused the change.
+    """
+    operation_id = message.operation_id
+    version = session.accepted.get(operation_id)
+    if version is not None:
+        return ConfigurationReply(ProposeResult.ACCEPTED, version, None)
+    # The message is kept before the call: control takes another document
+    # under the same operation id for another change and refuses it.
+    _keep(session.proposals, operation_id, message)
+    reply = await console.control.propose(message)
+    _log(session, message, reply)
+    if reply.result is ProposeResult.INVALID:
+        raise PageError(422, f"Control refused the change: {'; '.join(reply.problems)}")
+    if reply.result is ProposeResult.ACCEPTED:
+        _keep(session.accepted, operation_id, reply.version)
+    return reply
+
+
+def create_operation_id():
+    """Return a new operation id for a form."""
+    return str(uuid_utils.uuid7())
+
+
+def read_operation_id(req):
+    """Return the operation id in a form. Raises PageError."""
+    operation_id = req.get_field("operation_id")
+    if parse_uuid7(operation_id) is None:
+        raise PageError(400, "The form has no operation id.")
+    return operation_id
+
+
+def read_version(req):
+    """Return the version that a form was made from. Raises PageError."""
+    text = req.get_field("version")
+    if not (text.isascii() and text.isdigit()):
+        raise PageError(400, "The form does not name the version it was made from.")
+    return int(text)
+
+
+def _keep(table, key, value):
+    table[key] = value
+    while len(table) > MAX_KEPT:
+        del table[next(iter(table))]
+
+
+def _log(session, message, reply):
+    log_event(
+        Event.CONFIGURATION_PROPOSED,
+        operator=session.operator,
+        operation=message.operation_id,
+        expected_version=message.expected_version,
+        result=reply.result.value,
+        version=reply.version,
+    )
--- /dev/null
+++ b/src/wisteriaworks/console_sessions.py
@@ -0,0 +1,102 @@
+"""Sign operators in and keep their sessions in memory."""
+
+import hashlib
+import hmac
+import re
+import secrets
+from dataclasses import dataclass, field
+
+from wisteriaworks.console_drafts import Draft
+from wisteriaworks.errors import SettingsError
+from wisteriaworks.generated.messages import ProposeConfiguration
+
+COOKIE_BYTES = 32
+_SHA256 = re.compile("[0-9a-f]{64}")
+# Compared when the name is unknown, so that the time does not tell which
+# names exist. It is the hash of no password that anybody knows.
+_NO_PASSWORD = "0" * 64
+
+
+@dataclass(slots=True)
+class Session:
+    """Hold what one signed-in operator works on."""
+
+    operator: str
+    expires_at: float
+    draft: Draft | None = None
+    # Changes by operation id, to send a resent form's change unaltered.
+    proposals: dict[str, ProposeConfiguration] = field(default_factory=dict)
+    # Version that each accepted operation id led to, to answer a resent form.
+    accepted: dict[str, int] = field(default_factory=dict)
+
+
+class SessionStore:
+    """Keep sessions by cookie; ``clock()`` returns seconds."""
+
+    def __init__(self, lifetime_s, clock):
+        self._lifetime_s = lifetime_s
+        self._clock = clock
+        self._key = secrets.token_bytes(COOKIE_BYTES)
+        self._sessions = {}
+
+    def open(self, operator):
+        """Return the cookie of a new session."""
+        self._drop_expired()
+        cookie = create_cookie()
+        expires_at = self._clock() + self._lifetime_s
+        self._sessions[cookie] = Session(operator, expires_at)
+        return cookie
+
+    def find(self, cookie):
+        """Return the session of a cookie, or None."""
+        session = self._sessions.get(cookie)
+        if session is None or session.expires_at <= self._clock():
+            return None
+        return session
+
+    def renew(self, session):
+        """Let a session live on after a request of its operator."""
+        session.expires_at = self._clock() + self._lifetime_s
+
+    def close(self, cookie):
+        """Forget a session and its draft."""
+        self._sessions.pop(cookie, None)
+
+    def create_token(self, cookie):
+        """Return the token that forms carry against cross-site posts."""
+        return hmac.new(self._key, cookie.encode(), hashlib.sha256).hexdigest()
+
+    def is_token(self, cookie, token):
+        """Say whether a form's token belongs to the cookie."""
+        expected = self.create_token(cookie)
+        return bool(cookie) and _is_equal(expected, token)
+
+    def _drop_expired(self):
+        now = self._clock()
+        live = {c: s for c, s in self._sessions.items() if s.expires_at > now}
+        self._sessions = live
+
+
+def create_cookie():
+    """Return an unguessable cookie value."""
+    return secrets.token_urlsafe(COOKIE_BYTES)
+
+
+def is_password(operators, name, password):
+    """Say whether a password is that of an operator."""
+    digest = hashlib.sha256(password.encode()).hexdigest()
+    matches = _is_equal(operators.get(name, _NO_PASSWORD), digest)
+    return matches and name in operators
+
+
+def check_operators(operators):
+    """Raise SettingsError for a hash that no password can match."""
+    for name, digest in operators.items():
+        if not name or not _SHA256.fullmatch(digest):
+            raise SettingsError(
+                f"operators.{name}: expected a name and 64 hexadecimal digits"
+            )
+
+
+def _is_equal(expected, given):
+    return hmac.compare_digest(expected.encode(), given.encode())
--- /dev/null
+++ b/src/wisteriaworks/console_status.py
@@ -0,0 +1,98 @@
+"""The pages that show the state of the system."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+
+from wisteriaworks.console_http import PageError
+from wisteriaworks.generated.messages import ServerState
+
+# A page stays readable and quick to send at the design size.
+PAGE_ROWS = 200
+LEAVING = "leaving"
+REFRESH_S = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Hold the rows of one page and its place among the pages."""
+
+    rows: tuple
+    number: int
+    count: int
+    total: int
+
+
+async def show_status(console, req):
+    """Show the leader, the members, the entries and the servers by state."""
+    status = await console.control.read_status()
+    states = Counter(route.state for route in status.servers)
+    return console.pages.render(
+        req,
+        "status.html",
+        status=200,
+        reply=status,
+        members=[(m, _name_role(m, status)) for m in status.members],
+        entries=sorted(status.entries, key=lambda entry: entry.name),
+        counts=[(state.value, states[state]) for state in ServerState],
+        leaving=sum(route.leaving for route in status.servers),
+    )
+
+
+async def show_servers(console, req):
+    """Show one page of the servers, of all states or of one."""
+    state = req.get_query("state")
+    status = await console.control.read_status()
+    holders = {entry.session: entry.name for entry in status.entries}
+    routes = [route for route in status.servers if _has_state(route, state)]
+    routes.sort(key=lambda route: route.server)
+    return console.pages.render(
+        req,
+        "servers.html",
+        page=cut_page(routes, req.get_query("page")),
+        holders=holders,
+        state=state,
+        states=["", *(s.value for s in ServerState), LEAVING],
+    )
+
+
+async def show_rollout(console, req):
+    """Show in which entries a version is in force, until it is in all."""
+    text = req.get_query("version")
+    if not (text.isascii() and text.isdigit()):
+        raise PageError(404, "There is no such version.")
+    version = int(text)
+    status = await console.control.read_status()
+    entries = sorted(status.entries, key=lambda entry: entry.name)
+    lagging = [entry for entry in entries if entry.config_version < version]
+    return console.pages.render(
+        req,
+        "rollout.html",
+        version=version,
+        in_force=status.config_version,
+        entries=entries,
+        lagging=lagging,
+        refresh_s=REFRESH_S if lagging else 0,
+    )
+
+
+def cut_page(rows, number):
+    """Return the numbered page of the rows. Raises PageError."""
+    count = max(1, math.ceil(len(rows) / PAGE_ROWS))
+    if number and not (number.isascii() and number.isdigit()):
+        raise PageError(404, "There is no such page.")
+    number = min(max(1, int(number or 1)), count)
+    start = (number - 1) * PAGE_ROWS
+    return Page(tuple(rows[start : start + PAGE_ROWS]), number, count, len(rows))
+
+
+def _has_state(route, state):
+    if state == LEAVING:
+        return route.leaving
+    return not state or route.state.value == state
+
+
+def _name_role(member, status):
+    if status.leader in (member.id, member.address):
+        return "leader"
+    return "voter" if member.voter else "learner"
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -56,6 +56,11 @@
     DISK_CREATED = _Spec(509, "INFO", "data folder got a new disk identity")
     SNAPSHOT_RESTORED = _Spec(510, "INFO", "snapshot of the leader restored")
     PLATFORM_UNREADABLE = _Spec(511, "WARNING", "list of VMs cannot be read")
+    # 6xx: console
+    OPERATOR_SIGNED_IN = _Spec(601, "INFO", "operator signed in")
+    SIGN_IN_REFUSED = _Spec(602, "WARNING", "sign-in refused")
+    CONFIGURATION_PROPOSED = _Spec(603, "INFO", "configuration proposed")
+    DOMAIN_MOVED = _Spec(604, "INFO", "failure domain moved")
 
 
 def log_event(event, **fields):
