Add forms, drafts and the review to the console

Cause: the console could only show the state and move domains; searches, indexes, callers, limits and objectives need forms.

Tried: forms are described by data and parsed by one pure function with errors by field. Edits go into a draft per session with its base version; a form carries the version it was made from, so that a form opened before another operator's change does not undo it. The review form carries version, digest of the draft and operation id. A conflict shows both sides; a rebase is a three-way merge of the documents, which keeps the values in force where both sides changed one path. The merge works on nested data because names may have dots, which makes paths as text ambiguous.

A test found that numbers of over 4300 digits in the address ended in an internal error; such numbers are refused now.

--- a/src/wisteriaworks/configuration.py
+++ b/src/wisteriaworks/configuration.py
@@ -84,7 +84,15 @@
     """
     if old is None:
         old = Document()
-    return list(_list_changes(_index_servers(old), _index_servers(new), ""))
+    return list(_list_changes(index_servers(old), index_servers(new), ""))
+
+
+def index_servers(document):
+    """Return a document as plain data, with the servers of an index by name."""
+    plain = msgspec.to_builtins(document, order="deterministic")
+    for index in plain["indexes"].values():
+        index["servers"] = {server["name"]: server for server in index["servers"]}
+    return plain
 
 
 def set_domain_state(document, name, state):
@@ -131,13 +139,6 @@
             yield from _find_duplicates(child, child_path, seen)
 
 
-def _index_servers(document):
-    plain = msgspec.to_builtins(document, order="deterministic")
-    for index in plain["indexes"].values():
-        index["servers"] = {server["name"]: server for server in index["servers"]}
-    return plain
-
-
 def _list_changes(old, new, path):
     if isinstance(old, dict) and isinstance(new, dict):
         for key in sorted(old.keys() | new.keys()):
--- a/src/wisteriaworks/console_app.py
+++ b/src/wisteriaworks/console_app.py
@@ -4,12 +4,16 @@
 from dataclasses import dataclass
 
 from wisteriaworks import (
+    console_configuration,
     console_domains,
+    console_review,
+    console_servers,
     console_sign_in,
     console_status,
 )
 from wisteriaworks.asgi import run_lifespan, send_response
 from wisteriaworks.console_control import ConsoleControl
+from wisteriaworks.console_groups import GROUPS
 from wisteriaworks.console_http import (
     SECURITY_HEADERS,
     PageError,
@@ -44,7 +48,21 @@
     ("POST", console_domains.DRAIN): console_domains.move_domain,
     ("GET", console_domains.RETURN): console_domains.show_confirmation,
     ("POST", console_domains.RETURN): console_domains.move_domain,
+    ("GET", "/limits"): console_configuration.show_limits,
+    ("POST", "/limits"): console_configuration.save_limits,
+    ("GET", "/indexes/servers"): console_servers.show_servers,
+    ("GET", "/indexes/servers/new"): console_servers.show_form,
+    ("POST", "/indexes/servers/new"): console_servers.save,
+    ("GET", "/indexes/servers/edit"): console_servers.show_form,
+    ("POST", "/indexes/servers/edit"): console_servers.save,
+    ("POST", "/indexes/servers/remove"): console_servers.remove,
+    ("GET", "/review"): console_review.show_review,
+    ("POST", "/review/apply"): console_review.apply_draft,
+    ("POST", "/review/rebase"): console_review.rebase,
+    ("POST", "/review/discard"): console_review.discard,
 }
+for _group in GROUPS.values():
+    _ROUTES |= console_configuration.list_routes(_group)
 _PATHS = frozenset(path for _, path in _ROUTES)
 
 
--- a/src/wisteriaworks/console_domains.py
+++ b/src/wisteriaworks/console_domains.py
@@ -1,6 +1,7 @@
 """The pages that take a failure domain out of service and return it."""
 
 from wisteriaworks.configuration import check_document, set_domain_state
+from wisteriaworks.console_configuration import open_draft
 from wisteriaworks.console_http import PageError, redirect
 from wisteriaworks.console_proposals import (
     create_operation_id,
@@ -25,8 +26,13 @@
     """Show the failure domains in force with a button for each."""
     reply = await console.control.read_configuration()
     domains = reply.document.domains if reply.document else {}
+    draft = await open_draft(console, req.session)
     return console.pages.render(
-        req, "domains.html", version=reply.version, domains=sorted(domains.items())
+        req,
+        "domains.html",
+        version=reply.version,
+        domains=sorted(domains.items()),
+        draft=draft,
     )
 
 
--- a/src/wisteriaworks/console_drafts.py
+++ b/src/wisteriaworks/console_drafts.py
@@ -1,9 +1,28 @@
 """Keep an operator's changes apart from the configuration in force."""
 
+import hashlib
 from dataclasses import dataclass
 
-from wisteriaworks.configuration import diff_documents
-from wisteriaworks.generated.document import Document
+import msgspec
+
+from wisteriaworks.configuration import Change, diff_documents, index_servers
+from wisteriaworks.generated.document import (
+    Caller,
+    Document,
+    Domain,
+    Index,
+    Limits,
+    Objective,
+    Search,
+    Server,
+)
+
+_KINDS = {
+    "searches": Search,
+    "callers": Caller,
+    "domains": Domain,
+    "objectives": Objective,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,8 +41,80 @@
         """Return the changes of the draft by path."""
         return diff_documents(self.base, self.document)
 
+    def compute_digest(self):
+        """Return a hash by which a form names the reviewed content."""
+        data = msgspec.json.encode(self.document, order="deterministic")
+        return hashlib.sha256(data).hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class Rebase:
+    """Hold both sides of a conflict and the draft on the newer version.
+
+    The draft has the newer version's values at the overlapping paths.
+    """
+
+    draft: Draft
+    mine: list[Change]
+    theirs: list[Change]
+    overlaps: list[str]
+
 
 def start_draft(version, document):
     """Return a draft without changes; the first configuration is empty."""
     document = document or Document()
     return Draft(version, document, document)
+
+
+def rebase_draft(draft, version, document):
+    """Return the draft's changes on a newer version, with both sides."""
+    newer = document or Document()
+    overlaps = []
+    sides = map(index_servers, (draft.base, draft.document, newer))
+    merged = _merge(*sides, "", overlaps)
+    return Rebase(
+        draft=Draft(version, newer, _create_document(merged)),
+        mine=draft.list_changes(),
+        theirs=diff_documents(draft.base, newer),
+        overlaps=overlaps,
+    )
+
+
+def _merge(base, mine, theirs, path, overlaps):
+    """Return the merged value; where both sides differ, theirs."""
+    if mine in (base, theirs):
+        return theirs
+    if theirs == base:
+        return mine
+    if not all(isinstance(side, dict) for side in (base, mine, theirs)):
+        overlaps.append(path)
+        return theirs
+    # Names may have dots, so paths are only for display.
+    merged = {
+        key: _merge(
+            *(side.get(key, ...) for side in (base, mine, theirs)),
+            f"{path}.{key}".lstrip("."),
+            overlaps,
+        )
+        for key in theirs | mine | base
+    }
+    return {key: value for key, value in merged.items() if value is not ...}
+
+
+def _create_document(plain):
+    # Converted part by part: a draft may have an index without servers, which
+    # the schema of the whole refuses and the review page reports.
+    groups = {
+        group: {n: msgspec.convert(part, kind) for n, part in plain[group].items()}
+        for group, kind in _KINDS.items()
+    }
+    indexes = {
+        name: Index(servers=msgspec.convert(_list_servers(index), tuple[Server, ...]))
+        for name, index in plain["indexes"].items()
+    }
+    limits = msgspec.convert(plain["limits"], Limits)
+    return Document(indexes=indexes, limits=limits, **groups)
+
+
+def _list_servers(index):
+    return list(index["servers"].values())
--- a/src/wisteriaworks/console_http.py
+++ b/src/wisteriaworks/console_http.py
@@ -1,6 +1,7 @@
 """Read the requests of browsers and hold the answers to them."""
 
 import http.cookies
+import re
 import urllib.parse
 from dataclasses import dataclass
 
@@ -24,6 +25,9 @@
     (b"referrer-policy", b"same-origin"),
     (b"cache-control", b"no-store"),
 )
+# Below the limits of Python's conversion and of the messages to control.
+_NUMBER = re.compile("[0-9]{1,18}")
+_SHOWN = 40
 HTML = b"text/html; charset=utf-8"
 CSS = b"text/css; charset=utf-8"
 
@@ -84,6 +88,13 @@
     )
 
 
+def parse_number(text):
+    """Return a non-negative integer. Raises PageError."""
+    if not _NUMBER.fullmatch(text):
+        raise PageError(400, f"Expected a number, got {text[:_SHOWN]!r}.")
+    return int(text)
+
+
 def is_foreign(req):
     """Say whether a browser names another site as the origin of a request."""
     # The scheme is left out: a proxy in front may end TLS.
--- a/src/wisteriaworks/console_proposals.py
+++ b/src/wisteriaworks/console_proposals.py
@@ -2,7 +2,7 @@
 
 import uuid_utils
 
-from wisteriaworks.console_http import PageError
+from wisteriaworks.console_http import PageError, parse_number
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.messages import ConfigurationReply, ProposeResult
 from wisteriaworks.uuid7 import parse_uuid7
@@ -49,10 +49,7 @@
 
 def read_version(req):
     """Return the version that a form was made from. Raises PageError."""
-    text = req.get_field("version")
-    if not (text.isascii() and text.isdigit()):
-        raise PageError(400, "The form does not name the version it was made from.")
-    return int(text)
+    return parse_number(req.get_field("version"))
 
 
 def _keep(table, key, value):
--- a/src/wisteriaworks/console_status.py
+++ b/src/wisteriaworks/console_status.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from wisteriaworks.console_http import PageError
+from wisteriaworks.console_http import parse_number
 from wisteriaworks.generated.messages import ServerState
 
 # A page stays readable and quick to send at the design size.
@@ -58,10 +58,7 @@
 
 async def show_rollout(console, req):
     """Show in which entries a version is in force, until it is in all."""
-    text = req.get_query("version")
-    if not (text.isascii() and text.isdigit()):
-        raise PageError(404, "There is no such version.")
-    version = int(text)
+    version = parse_number(req.get_query("version"))
     status = await console.control.read_status()
     entries = sorted(status.entries, key=lambda entry: entry.name)
     lagging = [entry for entry in entries if entry.config_version < version]
@@ -79,9 +76,7 @@
 def cut_page(rows, number):
     """Return the numbered page of the rows. Raises PageError."""
     count = max(1, math.ceil(len(rows) / PAGE_ROWS))
-    if number and not (number.isascii() and number.isdigit()):
-        raise PageError(404, "There is no such page.")
-    number = min(max(1, int(number or 1)), count)
+    number = min(max(1, parse_number(number or "1")), count)
     start = (number - 1) * PAGE_ROWS
     return Page(tuple(rows[start : start + PAGE_ROWS]), number, count, len(rows))
 
