--- a/src/wisteriaworks/console_app.py
+++ b/src/wisteriaworks/console_app.py
@@ -18,7 +18,6 @@
     SECURITY_HEADERS,
     PageError,
     Request,
-    Response,
     is_foreign,
     read_request,
     redirect,
@@ -50,6 +49,7 @@
     ("POST", console_domains.RETURN): console_domains.move_domain,
     ("GET", "/limits"): console_configuration.show_limits,
     ("POST", "/limits"): console_configuration.save_limits,
+    ("GET", "/indexes"): console_configuration.show_indexes,
     ("GET", "/indexes/servers"): console_servers.show_servers,
     ("GET", "/indexes/servers/new"): console_servers.show_form,
     ("POST", "/indexes/servers/new"): console_servers.save,
@@ -136,7 +136,7 @@
         if is_foreign(req) or not sessions.is_token(req.cookie, req.get_field("token")):
             raise PageError(403, _FORGED)
 
-    def _explain(self, req, exc) -> Response:
+    def _explain(self, req, exc):
         pages = self._console.pages
         match exc:
             case ControlError():
--- a/src/wisteriaworks/console_configuration.py
+++ b/src/wisteriaworks/console_configuration.py
@@ -25,10 +25,6 @@
     "The configuration has changed since this form was opened. Nothing was saved; "
     "compare with the values in force and save again."
 )
-# The lists of these groups are pages of their own.
-_OWN_LISTS = frozenset({"domains", "indexes"})
-# New parts of these groups have a name only, so there is nothing to edit.
-_NAME_ONLY = frozenset({"domains", "indexes"})
 
 
 def list_routes(group):
@@ -39,14 +35,14 @@
         ("POST", f"{path}/new"): save,
         ("POST", f"{path}/remove"): remove,
     }
-    if group.name not in _NAME_ONLY:
-        routes["GET", f"{path}/edit"] = show_form
-        routes["POST", f"{path}/edit"] = save
-    if group.name not in _OWN_LISTS:
-        routes["GET", path] = show_list
-    if group.name == "indexes":
-        routes["GET", path] = show_indexes
-    return routes
+    if group.blank is not None:
+        # Parts with a name only have nothing to edit and lists of their own.
+        return routes
+    return routes | {
+        ("GET", path): show_list,
+        ("GET", f"{path}/edit"): show_form,
+        ("POST", f"{path}/edit"): save,
+    }
 
 
 async def open_draft(console, session):
--- a/src/wisteriaworks/console_control.py
+++ b/src/wisteriaworks/console_control.py
@@ -19,11 +19,11 @@
 
     async def read_configuration(self):
         """Return the reply with the document in force. Raises ControlError."""
-        return await self._client.call(ReadConfiguration(), CALL_TIMEOUT_S)
+        return await self._read(ReadConfiguration())
 
     async def read_status(self):
         """Return what the leader knows of the system. Raises ControlError."""
-        return await self._client.call(ReadStatus(), CALL_TIMEOUT_S)
+        return await self._read(ReadStatus())
 
     async def propose(self, message):
         """Return the reply to a ``ProposeConfiguration``.
@@ -41,3 +41,10 @@
                 if attempt == SEND_ATTEMPTS:
                     raise ControlError(exc.message, sent=sent) from exc
             await trio.sleep(RESEND_DELAY_S)
+
+    async def _read(self, message):
+        try:
+            return await self._client.call(message, CALL_TIMEOUT_S)
+        except ControlError as exc:
+            # ``sent`` is about changes, and a read changes nothing.
+            raise ControlError(exc.message, sent=False) from exc
--- a/src/wisteriaworks/console_domains.py
+++ b/src/wisteriaworks/console_domains.py
@@ -50,16 +50,18 @@
         base = await console.control.read_configuration()
         document = _set_state(base, name, _STATES[req.path])
         message = ProposeConfiguration(operation_id, read_version(req), document)
+    is_new = operation_id not in req.session.accepted
     reply = await propose(console, req.session, message)
     if reply.result is ProposeResult.CONFLICT:
         return _render_confirmation(console, req, reply, name, _CHANGED)
-    log_event(
-        Event.DOMAIN_MOVED,
-        operator=req.session.operator,
-        domain=name,
-        state=_STATES[req.path].value,
-        version=reply.version,
-    )
+    if is_new:
+        log_event(
+            Event.DOMAIN_MOVED,
+            operator=req.session.operator,
+            domain=name,
+            state=_STATES[req.path].value,
+            version=reply.version,
+        )
     return redirect("/rollout", version=reply.version)
 
 
--- a/src/wisteriaworks/console_proposals.py
+++ b/src/wisteriaworks/console_proposals.py
@@ -3,6 +3,7 @@
 import uuid_utils
 
 from wisteriaworks.console_http import PageError, parse_number
+from wisteriaworks.errors import ControlError
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.messages import ConfigurationReply, ProposeResult
 from wisteriaworks.uuid7 import parse_uuid7
@@ -25,8 +26,12 @@
     # The message is kept before the call: control takes another document
     # under the same operation id for another change and refuses it.
     _keep(session.proposals, operation_id, message)
-    reply = await console.control.propose(message)
-    _log(session, message, reply)
+    try:
+        reply = await console.control.propose(message)
+    except ControlError:
+        _log(session, message, "unknown", None)
+        raise
+    _log(session, message, reply.result.value, reply.version)
     if reply.result is ProposeResult.INVALID:
         raise PageError(422, f"Control refused the change: {'; '.join(reply.problems)}")
     if reply.result is ProposeResult.ACCEPTED:
@@ -58,12 +63,12 @@
         del table[next(iter(table))]
 
 
-def _log(session, message, reply):
+def _log(session, message, result, version):
     log_event(
         Event.CONFIGURATION_PROPOSED,
         operator=session.operator,
         operation=message.operation_id,
         expected_version=message.expected_version,
-        result=reply.result.value,
-        version=reply.version,
+        result=result,
+        version=version,
     )
--- a/src/wisteriaworks/console_servers.py
+++ b/src/wisteriaworks/console_servers.py
@@ -1,5 +1,7 @@
 """The pages that change the servers of one index in the operator's draft."""
 
+import urllib.parse
+
 from wisteriaworks.console_configuration import (
     CHANGED,
     change_draft,
@@ -108,7 +110,7 @@
         name=name,
         has_name=is_new,
         hidden=hidden,
-        back=f"{_PATH}?index={index}",
+        back=f"{_PATH}?{urllib.parse.urlencode({'index': index})}",
     )
 
 
--- a/tests/test_console_review.py
+++ b/tests/test_console_review.py
@@ -110,6 +110,13 @@
     assert "Conflict with version 3" in browser.page
 
 
+async def test_the_first_configuration_is_a_change_to_version_0():
+    browser = await Browser(None, 0).sign_in()
+    await _edit_limits(browser, max_running=7)
+    await browser.submit(APPLY)
+    assert browser.control.document.limits == Limits(max_running=7)
+
+
 async def test_a_discarded_draft_is_gone(browser):
     await browser.submit("/review/discard")
     await browser.get("/review")
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -8,7 +8,11 @@
 import examples
 from wisteriaworks.configuration import check_document, parse_document
 from wisteriaworks.generated.document import Routing
-from wisteriaworks.generated.settings import ControlSettings, EntrySettings
+from wisteriaworks.generated.settings import (
+    ConsoleSettings,
+    ControlSettings,
+    EntrySettings,
+)
 from wisteriaworks.settings import load_settings
 
 # Servers, replicas in a set, slots and connections, from section 1.4.
@@ -80,13 +84,15 @@
 def test_settings_are_valid_and_no_address_is_used_twice(site, document):
     entries = _load(site, EntrySettings, "entry-*.yaml")
     members = _load(site, ControlSettings, "control-*.yaml")
-    assert (len(entries), len(members)) == (10, 3)
+    consoles = _load(site, ConsoleSettings, "console.yaml")
+    assert (len(entries), len(members), len(consoles)) == (10, 3, 1)
     assert {entry.domain for entry in entries} == set(site.domains)
     assert len({member.domain for member in members}) == 3
     addresses = [s.address for i in document.indexes.values() for s in i.servers]
     addresses += itertools.chain(*((e.api, e.peer, e.admin) for e in entries))
     addresses += itertools.chain(*((m.address, m.admin) for m in members))
-    assert len(set(addresses)) == len(addresses) == 108 + 30 + 6
+    addresses += itertools.chain(*((c.listen, c.admin) for c in consoles))
+    assert len(set(addresses)) == len(addresses) == 108 + 30 + 6 + 2
     control = {member.address for member in members}
-    assert all(set(entry.control) == control for entry in entries)
+    assert all(set(cfg.control) == control for cfg in (*entries, *consoles))
     assert all({m.address, *m.peers} == control for m in members)
--- a/tools/examples.py
+++ b/tools/examples.py
@@ -34,11 +34,16 @@
 ADMIN_OFFSET = 540
 CONTROL_OFFSET = 600
 CONTROL_ADMIN_OFFSET = 620
+CONSOLE_OFFSET = 640
+CONSOLE_ADMIN_OFFSET = 660
 PLATFORM_OFFSET = 700
 _NOTE = "# Written by tools/examples.py.\n"
 _CREDENTIAL_NOTE = (
     "# The credential of caller NAME is {site}-NAME; use secret ones in production.\n"
 )
+_PASSWORD_NOTE = (
+    "# The password of operator is {site}-operator; use a secret one in production.\n"
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,6 +252,19 @@
     }
 
 
+def create_console_settings(site):
+    """Return the settings of the console, which any VM may run."""
+    password = f"{site.name}-operator"
+    return {
+        "name": "console-1",
+        "listen": _locate(site, CONSOLE_OFFSET, 1),
+        "admin": _locate(site, CONSOLE_ADMIN_OFFSET, 1),
+        "control": _list_control(site),
+        "operators": {"operator": hashlib.sha256(password.encode()).hexdigest()},
+        "session_s": 3600,
+    }
+
+
 def create_files(site):
     """Return the text of each file of a site by name."""
     note = _NOTE + _CREDENTIAL_NOTE.format(site=site.name)
@@ -257,11 +275,14 @@
     for number in range(1, CONTROL_MEMBERS + 1):
         settings = create_control_settings(site, number)
         files[f"control-{number}.yaml"] = _render_settings(settings)
+    note = _NOTE + _PASSWORD_NOTE.format(site=site.name)
+    settings = create_console_settings(site)
+    files["console.yaml"] = _render_settings(settings, note)
     return files
 
 
-def _render_settings(settings):
-    return _NOTE + yaml.safe_dump(settings, sort_keys=False)
+def _render_settings(settings, note=_NOTE):
+    return note + yaml.safe_dump(settings, sort_keys=False)
 
 
 def main():
