Answer resent console forms without keeping accepted documents

Cause: a session kept the documents of its last 20 changes, which is a lot of memory at the design size, and a trial of removed mechanisms left some of them unguarded by tests.

Tried: an accepted change is remembered by its version only; at most three changes without an accepted outcome keep their document, so that a resent form sends the same change. The fake control leader now refuses another change under a used operation id, as the real one does, which makes the tests of resent forms stricter. New tests cover a lost read, a draft with errors that is posted anyway, a resend after the draft went on, and a chosen name that is gone.

--- a/src/wisteriaworks/console_domains.py
+++ b/src/wisteriaworks/console_domains.py
@@ -45,23 +45,23 @@
 async def move_domain(console, req):
     """Put the new state of one domain in force, or ask again."""
     name, operation_id = req.get_field("name"), read_operation_id(req)
+    if operation_id in req.session.accepted:
+        return redirect("/rollout", version=req.session.accepted[operation_id])
     message = req.session.proposals.get(operation_id)
     if message is None:
         base = await console.control.read_configuration()
         document = _set_state(base, name, _STATES[req.path])
         message = ProposeConfiguration(operation_id, read_version(req), document)
-    is_new = operation_id not in req.session.accepted
     reply = await propose(console, req.session, message)
     if reply.result is ProposeResult.CONFLICT:
         return _render_confirmation(console, req, reply, name, _CHANGED)
-    if is_new:
-        log_event(
-            Event.DOMAIN_MOVED,
-            operator=req.session.operator,
-            domain=name,
-            state=_STATES[req.path].value,
-            version=reply.version,
-        )
+    log_event(
+        Event.DOMAIN_MOVED,
+        operator=req.session.operator,
+        domain=name,
+        state=_STATES[req.path].value,
+        version=reply.version,
+    )
     return redirect("/rollout", version=reply.version)
 
 
--- a/src/wisteriaworks/console_proposals.py
+++ b/src/wisteriaworks/console_proposals.py
@@ -5,27 +5,25 @@
 from wisteriaworks.console_http import PageError, parse_number
 from wisteriaworks.errors import ControlError
 from wisteriaworks.events import Event, log_event
-from wisteriaworks.generated.messages import ConfigurationReply, ProposeResult
+from wisteriaworks.generated.messages import ProposeResult
 from wisteriaworks.uuid7 import parse_uuid7
 
 # Enough for forms that are still open in a browser. For older ones control
 # has the answer.
-MAX_KEPT = 20
+MAX_ACCEPTED = 20
+# Each holds a whole document, which has 24,000 servers at the design size.
+MAX_PROPOSALS = 3
 
 
 async def propose(console, session, message):
-    """Return control's reply to a change; a resent one gets the first answer.
+    """Return control's reply to a change and remember an accepted version.
 
     Raises ControlError if the outcome is not known and PageError if control
     refused the change.
     """
-    operation_id = message.operation_id
-    version = session.accepted.get(operation_id)
-    if version is not None:
-        return ConfigurationReply(ProposeResult.ACCEPTED, version, None)
     # The message is kept before the call: control takes another document
     # under the same operation id for another change and refuses it.
-    _keep(session.proposals, operation_id, message)
+    _keep(session.proposals, message.operation_id, message, MAX_PROPOSALS)
     try:
         reply = await console.control.propose(message)
     except ControlError:
@@ -35,7 +33,8 @@
     if reply.result is ProposeResult.INVALID:
         raise PageError(422, f"Control refused the change: {'; '.join(reply.problems)}")
     if reply.result is ProposeResult.ACCEPTED:
-        _keep(session.accepted, operation_id, reply.version)
+        session.proposals.pop(message.operation_id, None)
+        _keep(session.accepted, message.operation_id, reply.version, MAX_ACCEPTED)
     return reply
 
 
@@ -57,9 +56,9 @@
     return parse_number(req.get_field("version"))
 
 
-def _keep(table, key, value):
+def _keep(table, key, value, limit):
     table[key] = value
-    while len(table) > MAX_KEPT:
+    while len(table) > limit:
         del table[next(iter(table))]
 
 
--- a/src/wisteriaworks/console_review.py
+++ b/src/wisteriaworks/console_review.py
@@ -29,10 +29,12 @@
 async def apply_draft(console, req):
     """Propose the reviewed draft and follow it into force."""
     session, operation_id = req.session, read_operation_id(req)
-    message = session.proposals.get(operation_id)
     # A resent form gets the answer to its first sending, whatever became of
     # the draft since.
-    if message is None and operation_id not in session.accepted:
+    if operation_id in session.accepted:
+        return redirect("/rollout", version=session.accepted[operation_id])
+    message = session.proposals.get(operation_id)
+    if message is None:
         draft = _read_reviewed(req)
         if list_errors(check_document(draft.document)):
             return _render_review(console, req, draft, status=422)
--- a/src/wisteriaworks/console_sessions.py
+++ b/src/wisteriaworks/console_sessions.py
@@ -24,7 +24,8 @@
     operator: str
     expires_at: float
     draft: Draft | None = None
-    # Changes by operation id, to send a resent form's change unaltered.
+    # Changes that were not accepted yet, by operation id, so that a resent
+    # form sends the same change.
     proposals: dict[str, ProposeConfiguration] = field(default_factory=dict)
     # Version that each accepted operation id led to, to answer a resent form.
     accepted: dict[str, int] = field(default_factory=dict)
--- a/tests/console_browser.py
+++ b/tests/console_browser.py
@@ -77,6 +77,11 @@
         form = {**self.hidden(action), **fields}
         return await self.send("POST", action, form, headers)
 
+    def find_draft(self):
+        """Return the draft of the signed-in operator."""
+        sessions = self.app._console.sessions
+        return sessions.find(self.cookie.partition("=")[2]).draft
+
     async def sign_in(self):
         await self.get("/sign-in")
         await self.submit("/sign-in", name="mira", password=PASSWORD)
--- a/tests/fake_control.py
+++ b/tests/fake_control.py
@@ -43,6 +43,7 @@
         self.document = document
         self.version = version
         self.results = {}
+        self.proposed = {}
         self.lose_answers = 0
         self.lost_error = ControlError("no control member answered in time")
         self.competing = []
@@ -74,6 +75,12 @@
         if self.competing:
             self.document = self.competing.pop(0)
             self.version += 1
+        first = self.proposed.setdefault(message.operation_id, message)
+        if first != message:
+            problem = "operation_id: expected a new id, this one names another change"
+            return ConfigurationReply(
+                ProposeResult.INVALID, self.version, None, (problem,)
+            )
         if message.operation_id not in self.results:
             self.results[message.operation_id] = self._decide(message)
         self._lose_answer()
--- a/tests/test_console_configuration.py
+++ b/tests/test_console_configuration.py
@@ -31,9 +31,7 @@
 
 
 def _draft(browser):
-    return browser.app._console.sessions.find(
-        browser.cookie.partition("=")[2]
-    ).draft.document
+    return browser.find_draft().document
 
 
 async def test_a_bad_field_keeps_what_was_typed_and_says_why(browser):
--- a/tests/test_console_domains.py
+++ b/tests/test_console_domains.py
@@ -6,8 +6,8 @@
 
 from wisteriaworks import console_control
 from wisteriaworks.configuration import parse_document
+from wisteriaworks.errors import ControlError
 from wisteriaworks.generated.document import DomainState, Limits
-from wisteriaworks.generated.messages import ProposeConfiguration
 
 DRAIN = "/domains/drain"
 
@@ -37,7 +37,7 @@
 async def test_a_resent_form_does_not_undo_a_later_return(browser):
     form = browser.hidden(DRAIN)
     await browser.submit(DRAIN)
-    browser.control.document = parse_document(VALID)
+    browser.control.document = parse_document(VALID + "limits: {max_running: 7}")
     browser.control.version = 3
     assert await browser.send("POST", DRAIN, form) == 303
     assert browser.location == "/rollout?version=2"
@@ -48,12 +48,22 @@
     browser.control.lose_answers = console_control.SEND_ATTEMPTS
     assert await browser.submit(DRAIN) == 503
     assert "may have been accepted" in browser.page
+    browser.control.document = parse_document(VALID + "limits: {max_running: 7}")
     browser.control.version += 5
     await browser.submit(DRAIN)
     assert browser.location == "/rollout?version=2"
     assert len(browser.control.results) == 1
 
 
+async def test_a_lost_read_does_not_claim_that_a_change_was_sent(browser, monkeypatch):
+    async def fail(message, timeout_s):
+        raise ControlError("no leader", sent=True)
+
+    monkeypatch.setattr(browser.control, "call", fail)
+    assert await browser.submit(DRAIN) == 503
+    assert "was not sent" in browser.page
+
+
 async def test_a_conflict_asks_again(browser):
     other = parse_document(VALID + "limits: {max_running: 7}")
     browser.control.competing = [other]
@@ -74,4 +84,4 @@
 async def test_unknown_domains_are_not_found(browser):
     assert await browser.get(f"{DRAIN}?name=%3Cb%3E") == 404
     assert "<b>" not in browser.page
-    assert not any(isinstance(r, ProposeConfiguration) for r in browser.control.results)
+    assert browser.control.results == {}
--- a/tests/test_console_forms.py
+++ b/tests/test_console_forms.py
@@ -97,3 +97,9 @@
 @pytest.mark.parametrize("name", ["", "a b", "a/b", "-a", "x" * 65, "known"])
 def test_names_that_the_document_refuses_are_errors(name):
     assert check_name(name, {"known"}).startswith("Expected ")
+
+
+def test_a_chosen_name_that_is_gone_stays_visible():
+    fields = {"domain": ("d9",)}
+    inputs = list_inputs(SERVER, fields, {}, {"domains": ("d1",)})
+    assert next(i for i in inputs if i.name == "domain").options == ("d1", "d9")
--- a/tests/test_console_review.py
+++ b/tests/test_console_review.py
@@ -68,6 +68,16 @@
     assert (browser.control.version, len(browser.control.results)) == (2, 1)
 
 
+async def test_a_resent_change_is_the_first_one_even_if_the_draft_went_on(browser):
+    form = browser.hidden(APPLY)
+    browser.control.lose_answers = console_control.SEND_ATTEMPTS
+    await browser.send("POST", APPLY, form)
+    await _edit_limits(browser, max_running=8)
+    assert await browser.send("POST", APPLY, form) == 303
+    assert browser.control.document.limits == Limits(max_running=7)
+    assert browser.find_draft().document.limits == Limits(max_running=8)
+
+
 async def test_a_draft_that_changed_after_its_review_is_not_applied(browser):
     form = browser.hidden(APPLY)
     await _edit_limits(browser, max_running=8)
@@ -75,6 +85,15 @@
     assert browser.control.version == 1
 
 
+async def test_a_draft_with_errors_is_not_proposed(browser):
+    form = browser.hidden(APPLY)
+    await browser.get("/indexes")
+    await browser.submit("/indexes/remove", name="a")
+    digest = browser.find_draft().compute_digest()
+    assert await browser.send("POST", APPLY, form | {"digest": digest}) == 422
+    assert browser.control.results == {}
+
+
 async def test_a_conflict_shows_both_sides_and_can_be_rebased(browser):
     browser.control.competing = [THEIRS]
     assert await browser.submit(APPLY) == 409
