--- /dev/null
+++ b/src/wisteriaworks/console_proposals.py
@@ -0,0 +1,73 @@
+"""Propose changes of the configuration so that a resent form applies once."""
+
+import uuid_utils
+
+from wisteriaworks.console_http import PageError, parse_number
+from wisteriaworks.errors import ControlError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.messages import ProposeResult
+from wisteriaworks.uuid7 import parse_uuid7
+
+# Enough for forms that are still open in a browser. For older ones control
+# has the answer.
+MAX_ACCEPTED = 20
+# Each holds a whole document, which has 24,000 servers at the design size.
+MAX_PROPOSALS = 3
+
+
+async def propose(console, session, message):
+    """Return control's reply to a change and remember an accepted version.
+
+    Raises ControlError if the outcome is not known and PageError if control
+    refused the change.
+    """
+    # The message is kept before the call: control takes another document
+    # under the same operation id for another change and refuses it.
+    _keep(session.proposals, message.operation_id, message, MAX_PROPOSALS)
+    try:
+        reply = await console.control.propose(message)
+    except ControlError:
+        _log(session, message, "unknown", None)
+        raise
+    _log(session, message, reply.result.value, reply.version)
+    if reply.result is ProposeResult.INVALID:
+        raise PageError(422, f"Control refused the change: {'; '.join(reply.problems)}")
+    if reply.result is ProposeResult.ACCEPTED:
+        session.proposals.pop(message.operation_id, None)
+        _keep(session.accepted, message.operation_id, reply.version, MAX_ACCEPTED)
+    return reply
+
+
+def create_operation_id():
+    """Return a new operation id for a form."""
+    return str(uuid_utils.uuid7())
+
+
+def read_operation_id(req):
+    """Return the operation id in a form. Raises PageError."""
+    operation_id = req.get_field("operation_id")
+    if parse_uuid7(operation_id) is None:
+        raise PageError(400, "The form has no operation id.")
+    return operation_id
+
+
+def read_version(req):
+    """Return the version that a form was made from. Raises PageError."""
+    return parse_number(req.get_field("version"))
+
+
+def _keep(table, key, value, limit):
+    table[key] = value
+    while len(table) > limit:
+        del table[next(iter(table))]
+
+
+def _log(session, message, result, version):
+    log_event(
+        Event.CONFIGURATION_PROPOSED,
+        operator=session.operator,
+        operation=message.operation_id,
+        expected_version=message.expected_version,
+        result=result,
+        version=version,
+    )
