--- a/src/wisteriaworks/connection_pool.py
+++ b/src/wisteriaworks/connection_pool.py
@@ -21,6 +21,7 @@
 # Past this idle time the server may have closed its side unnoticed.
 STALE_IDLE_S = 1.0
 UPKEEP_INTERVAL_S = 0.1
+CONNECT_RETRY_S = 0.5
 # A single unanswered request is usually a straggler.
 STRIKES_BEFORE_PROBE = 2
 
@@ -184,8 +185,10 @@
     async def _run_upkeep(self):
         while True:
             await self._close_old()
-            with contextlib.suppress(ConnectFailedError):
+            try:
                 await self._open_spares()
+            except ConnectFailedError:
+                await trio.sleep(CONNECT_RETRY_S)
             await trio.sleep(UPKEEP_INTERVAL_S)
 
     async def _close_old(self):
@@ -220,9 +223,7 @@
             self._strikes = 0
 
     async def _probe(self):
-        for conn in [conn for conn in self._idle if conn in self._suspects]:
-            await self.discard(conn)
-        if not await self._answers_anew():
+        if not await self._make_room() or not await self._answers_anew():
             return
         suspects = tuple(self._suspects)
         for conn in suspects:
@@ -230,6 +231,17 @@
             await conn.abort()
         log_event(Event.CONNECTION_SILENT, address=self._address, closed=len(suspects))
 
+    async def _make_room(self):
+        """Give up a suspect if the probe would be one connection too many."""
+        if len(self._expiry) + self._connecting < self._max:
+            return True
+        if not self._suspects:
+            return False
+        conn = next(iter(self._suspects))
+        self._forget(conn)
+        await conn.abort()
+        return True
+
     async def _answers_anew(self):
         with trio.move_on_after(PROBE_TIMEOUT_S):
             try:
--- a/tests/emulation.py
+++ b/tests/emulation.py
@@ -98,6 +98,13 @@
         """Apply a fault to every emulated server."""
         self.emulator.apply(settings.Fault(command=command, **fields))
 
+    def finish_running(self):
+        """Let the servers finish at once whatever they run."""
+        for served in self.emulator.servers.values():
+            for job, scope in served._scopes.items():
+                job.service_s = 0.0
+                scope.deadline = 0.0
+
     def counters(self, server="s0"):
         """Return the counters of one server."""
         return self.emulator.servers[server].model.read_counters()
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -124,6 +124,17 @@
     assert protected in pool._expiry
 
 
+async def test_probe_finds_room_in_a_full_pool(make_pool, nursery):
+    pool = make_pool(max_connections=2)
+    silent = [await pool.acquire(), await pool.acquire()]
+    await trio.sleep(0.001)
+    nursery.start_soon(pool.run)
+    pool.note_unanswered(trio.current_time(), 0.0)
+    while not set(silent).isdisjoint(pool._expiry):
+        await trio.sleep(0.005)
+    assert await pool.acquire() not in silent
+
+
 async def test_no_probe_while_other_connections_are_heard(make_pool):
     pool = make_pool()
     began_at = trio.current_time()
