--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -124,6 +124,15 @@
     assert protected in pool._expiry
 
 
+async def test_suspect_is_not_used_before_the_probe_has_ended(make_pool):
+    pool = make_pool()
+    conn = await pool.acquire()
+    await pool.release(conn)
+    await trio.sleep(0.001)
+    pool.note_unanswered(trio.current_time(), 0.0)
+    assert await pool.acquire() is not conn
+
+
 async def test_probe_finds_room_in_a_full_pool(make_pool, nursery):
     pool = make_pool(max_connections=2)
     silent = [await pool.acquire(), await pool.acquire()]
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -10,6 +10,7 @@
 
 from wisteriaworks import connection_pool, held_server
 from wisteriaworks.emulated_server import list_hits
+from wisteriaworks.emulator_http import HttpConnection
 from wisteriaworks.generated.document import DomainState
 from wisteriaworks.generated.emulator import ColdStart, FaultCommand, ServiceTime
 from wisteriaworks.generated.messages import ServerState
@@ -193,8 +194,17 @@
         assert not refused[0].sent
 
 
-async def test_cancelled_work_keeps_its_place_until_the_server_has_ended_it(nursery):
+async def test_cancelled_work_keeps_its_place_until_the_server_has_ended_it(
+    nursery, monkeypatch
+):
     """Work sent in its place too early would be one too many at a cold server."""
+    read_until_closed = HttpConnection.read_until_closed
+
+    async def notice_late(conn):
+        await read_until_closed(conn)
+        await trio.sleep(0.005)
+
+    monkeypatch.setattr(HttpConnection, "read_until_closed", notice_late)
     async with start_bench(nursery, service=SLOW) as bench:
         await _wait_until(lambda: bench.holder._held["s0"]._pool.size.idle)
         for n in range(20):
