Ask the other replica before a sub-query queues at a busy server

Cause: entries learn a server's load only from their own replies, so 9 entries choose among 2 replicas almost at random, and sub-queries queued for 2 slots while the other replica was free. Ruled out: the hop and the fan-out's own processor time.

--- a/src/wisteriaworks/attempts.py
+++ b/src/wisteriaworks/attempts.py
@@ -29,6 +29,8 @@
     NONE = "none"
     MERGE = "merge"
     RESTART = "restart"
+    # The server has no free slot: ask another replica before queueing.
+    PASS_ON = "pass_on"
     # Nothing ran: ask again outside the retry budget.
     RESEND = "resend"
     # Something may have run: ask again under the retry budget.
@@ -68,6 +70,7 @@
         "snapshot_gone",
         Rule(Action.RESTART, Health.NEUTRAL, same_server=False),
     )
+    BUSY = "busy", Rule(Action.PASS_ON, Health.NEUTRAL, same_server=True)
     SHED = "shed", _BUSY
     COLD = "cold", _BUSY
     QUEUE_FULL = "queue_full", _BUSY
@@ -122,6 +125,8 @@
     plan: ShardPlan
     # Names of the servers that were asked.
     tried: set[str] = field(default_factory=set)
+    # Those of them that had no free slot and were not sent to.
+    busy: set[str] = field(default_factory=set)
     in_flight: "list[Attempt]" = field(default_factory=list)
     retries: int = 0
     resends: int = 0
--- a/src/wisteriaworks/fan_out.py
+++ b/src/wisteriaworks/fan_out.py
@@ -180,6 +180,7 @@
         progress, replica = pick.progress, pick.replica
         attempt = Attempt(next(self._numbers), pick.kind, progress, replica, now)
         progress.tried.add(replica.server)
+        progress.busy.discard(replica.server)
         progress.in_flight.append(attempt)
         self._attempts.append(attempt)
         return attempt
@@ -357,6 +358,13 @@
 
 
 def _make_item(attempt):
-    replica = attempt.replica
-    shard = attempt.progress.plan.shard
-    return SubqueryItem(attempt.number, replica.server, replica.epoch, shard)
+    replica, progress = attempt.replica, attempt.progress
+    # The last replica has to take the work.
+    untried = len(progress.plan.replicas) - len(progress.tried)
+    return SubqueryItem(
+        attempt.number,
+        replica.server,
+        replica.epoch,
+        progress.plan.shard,
+        may_queue=untried <= 0,
+    )
--- a/src/wisteriaworks/feedback.py
+++ b/src/wisteriaworks/feedback.py
@@ -10,7 +10,9 @@
     rule = outcome.rule
     if rule.action is Action.MERGE:
         router.report_load(replica, load, now)
-    elif rule.action is Action.RESEND and rule.health is Health.NEUTRAL:
+    elif rule.action is Action.PASS_ON or (
+        rule.action is Action.RESEND and rule.health is Health.NEUTRAL
+    ):
         # A server without a free slot is at least fully loaded.
         router.report_load(replica, max(load, replica.slots), now)
 
--- a/src/wisteriaworks/hedging.py
+++ b/src/wisteriaworks/hedging.py
@@ -81,6 +81,8 @@
         """Return the Pick that follows a failed attempt, or None."""
         progress = failed.progress
         rule = failed.outcome.rule
+        if rule.action is Action.PASS_ON:
+            return self._pass_on(failed, now)
         if not self._allow(rule.action, progress):
             return None
         kind = AttemptKind.RETRY
@@ -97,6 +99,18 @@
         self._count(kind, progress)
         return pick
 
+    def _pass_on(self, failed, now):
+        """Return the Pick that follows a busy server.
+
+        This needs no limit of its own: each replica is asked once, and the
+        last one may queue the sub-query.
+        """
+        progress = failed.progress
+        progress.busy.add(failed.replica.server)
+        replicas = progress.plan.replicas
+        replica = self._shared.router.pick(replicas, progress.tried, now)
+        return Pick(AttemptKind.PRIMARY, progress, replica or failed.replica)
+
     def _allow(self, action, progress):
         if action is Action.RESEND:
             return self._resends > 0 and progress.resends < RESENDS_PER_SHARD
@@ -121,7 +135,8 @@
                 refused.append(progress)
                 continue
             replicas = progress.plan.replicas
-            replica = self._shared.router.pick(replicas, progress.tried, now)
+            sent_to = progress.tried - progress.busy
+            replica = self._shared.router.pick(replicas, sent_to, now)
             if replica is not None:
                 self._shared.hedge_budget.take()
                 picks.append(Pick(AttemptKind.HEDGE, progress, replica))
--- a/src/wisteriaworks/held_server.py
+++ b/src/wisteriaworks/held_server.py
@@ -109,6 +109,8 @@
         """Queue an attempt, or refuse it at once."""
         now = trio.current_time()
         refusal = self._find_refusal(work, now) or self._find_overload(work, now)
+        if refusal is None and not work.item.may_queue:
+            refusal = self._find_busy()
         if refusal is not None:
             work.reply(refusal, sent=False, load=self.load)
             return
@@ -198,6 +200,10 @@
             return SubqueryOutcome.QUEUE_FULL
         return None
 
+    def _find_busy(self):
+        is_free = self.load < self.ramp.limit
+        return None if is_free else SubqueryOutcome.BUSY
+
     async def _run_worker(self):
         while True:
             work, permit = self._take()
