Extend the progress time-out by arriving bytes; refuse queued work on a drain

The time-out counted the whole exchange, so a long answer that still arrived was broken off. A drain or leaving that became known while every worker was busy was applied to queued work only when a worker became free.

--- a/src/wisteriaworks/backend_client.py
+++ b/src/wisteriaworks/backend_client.py
@@ -88,6 +88,7 @@
         self._stream = stream
         self._pending = []
         self.check = None
+        self.on_bytes = None
         # Set once a byte of the current request may have left.
         self.sent = False
         self.unanswered = False
@@ -103,6 +104,8 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise httpcore.ReadError(str(exc)) from exc
         self.heard_at = trio.current_time()
+        if self.on_bytes is not None:
+            self.on_bytes()
         return data
 
     async def write(self, buffer, timeout=None):
@@ -182,12 +185,14 @@
         """Say whether the connection is idle and not closed by the server."""
         return self.is_idle and not self._stream.get_extra_info("is_readable")
 
-    async def run_subquery(self, body, check):
-        """Return the Result of one sub-query; ``check`` runs right before it leaves.
+    async def run_subquery(self, body, check, on_bytes=None):
+        """Return the Result of one sub-query.
 
-        ``check`` raises SendRefusedError. Cancelling closes the connection.
+        ``check()`` runs right before the first byte leaves and may raise
+        SendRefusedError; ``on_bytes()`` runs whenever bytes arrive. Cancelling
+        closes the connection.
         """
-        self._stream.check = check
+        self._stream.check, self._stream.on_bytes = check, on_bytes
         try:
             status, data = await self._exchange(
                 b"POST", protocol.SUBQUERY_TARGET, _ENCODER.encode(body)
@@ -200,7 +205,7 @@
             failed = SubqueryOutcome.FAILED
             return Result(end, failed, self._stream.sent, detail=repr(exc))
         finally:
-            self._stream.check = None
+            self._stream.check = self._stream.on_bytes = None
 
     async def read_status(self):
         """Return the server's StatusBody, or None if there is none."""
--- a/src/wisteriaworks/held_server.py
+++ b/src/wisteriaworks/held_server.py
@@ -2,8 +2,6 @@
 
 import collections
 import functools
-from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 import trio
@@ -13,12 +11,7 @@
 from wisteriaworks.connection_pool import ConnectFailedError, ConnectionPool
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.messages import ServerReport
-from wisteriaworks.generated.subqueries import (
-    SubqueryBatch,
-    SubqueryItem,
-    SubqueryOutcome,
-    SubqueryReply,
-)
+from wisteriaworks.generated.subqueries import SubqueryOutcome
 from wisteriaworks.ramp import Ramp
 from wisteriaworks.server_status import ServerStatus
 
@@ -35,41 +28,6 @@
 _RESETTING = frozenset({SubqueryOutcome.SHED, SubqueryOutcome.COLD})
 
 
-@dataclass(slots=True, eq=False)
-class Work:
-    """Hold one attempt from its arrival to its reply."""
-
-    batch: SubqueryBatch
-    item: SubqueryItem
-    deadline: float
-    send: Callable
-    on_done: Callable
-    scope: trio.CancelScope | None = None
-    conn: object = None
-    began_at: float = 0.0
-    done: bool = False
-
-    @property
-    def sent(self):
-        """Say whether a byte may have left."""
-        return self.conn is not None and self.conn.has_sent
-
-    def reply(self, outcome, sent, **fields):
-        """Answer the attempt; only the first answer counts."""
-        if self.done:
-            return
-        self.done = True
-        self.send(SubqueryReply(self.item.attempt, outcome, sent, **fields))
-        self.on_done(self)
-
-    def abandon(self, outcome, detail):
-        """Answer now and stop the work, but let a non-idempotent send finish."""
-        sent = self.sent
-        self.reply(outcome, sent, detail=detail)
-        if self.scope is not None and (self.batch.idempotent or not sent):
-            self.scope.cancel()
-
-
 class HeldServer:
     """Send to one server under one epoch.
 
@@ -120,6 +78,12 @@
         while self._queue:
             self._queue.popleft().reply(outcome, sent=False)
 
+    def refuse_blocked(self):
+        """Answer everything that waits if nothing may be sent now."""
+        block = self._find_block(trio.current_time())
+        if block is not None:
+            self.refuse_queued(block)
+
     def drop_finished(self):
         """Take answered work out of the queue."""
         if any(work.done for work in self._queue):
@@ -262,11 +226,12 @@
         work.began_at = trio.current_time()
         conn, result = work.conn, None
         limit_s = self._progress_limit_s()
-        if work.batch.idempotent:
-            work.scope.deadline = min(work.deadline, work.began_at + limit_s)
+        work.expect_progress(limit_s)
         try:
             result = await conn.run_subquery(
-                self._make_body(work), lambda: self._check_send(work, permit)
+                self._make_body(work),
+                functools.partial(self._check_send, work, permit),
+                functools.partial(work.expect_progress, limit_s),
             )
         finally:
             self._note_silence(work, conn, result, limit_s)
@@ -337,6 +302,14 @@
             self._reset_ramp("new incarnation")
             self._log_state()
 
+    def _note_status(self, body):
+        was_draining = self.status.is_draining
+        self._note_reachable()
+        self._note_incarnation(self.status.note_status(body))
+        if self.status.is_draining != was_draining:
+            self._log_state()
+            self.refuse_blocked()
+
     def _note_unreachable(self, work, exc):
         doubled_s = max(2.0 * self._backoff_s, MIN_BACKOFF_S)
         self._backoff_s = min(doubled_s, MAX_BACKOFF_S)
@@ -378,8 +351,7 @@
             except ConnectFailedError:
                 return
         if body is not None:
-            self._note_reachable()
-            self._note_incarnation(self.status.note_status(body))
+            self._note_status(body)
         elif conn is not None and scope.cancelled_caught:
             self._pool.note_unanswered(began_at, STATUS_TIMEOUT_S)
         if conn is not None:
--- a/src/wisteriaworks/holder.py
+++ b/src/wisteriaworks/holder.py
@@ -12,8 +12,9 @@
 
 from wisteriaworks.generated.messages import Release
 from wisteriaworks.generated.subqueries import SubqueryOutcome
-from wisteriaworks.held_server import HeldServer, Work
+from wisteriaworks.held_server import HeldServer
 from wisteriaworks.view import EMPTY_VIEW
+from wisteriaworks.work import Work
 
 RELEASE_TIMEOUT_S = 2.0
 LEASE_CHECK_S = 0.05
@@ -75,7 +76,7 @@
         self._forget_released(wanted)
         for name, held in self._held.items():
             held.status.listed_leaving = wanted[name].leaving
-        self._refuse_forbidden()
+        self._refuse_blocked()
 
     async def run_batch(self, batch, send):
         """Call ``send(reply)`` once for each attempt of a batch.
@@ -199,17 +200,15 @@
         else:
             del self._batches[batch_id]
 
-    def _refuse_forbidden(self):
+    def _refuse_blocked(self):
         for held in (*self._held.values(), *self._closing.values()):
-            forbidden = self._find_forbidden(held.server.domain)
-            if forbidden is not None:
-                held.refuse_queued(forbidden)
+            held.refuse_blocked()
 
     async def _watch_lease(self):
         """Answer what is queued soon after the lease runs out."""
         while True:
             is_valid = self._lease.is_valid(trio.current_time())
             if self._was_valid and not is_valid:
-                self._refuse_forbidden()
+                self._refuse_blocked()
             self._was_valid = is_valid
             await trio.sleep(LEASE_CHECK_S)
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -25,11 +25,13 @@
 
 @pytest.fixture
 async def connect(nursery):
-    async def start(response):
+    async def start(*parts):
         async def answer(stream):
             async with stream:
                 await stream.receive_some(65536)
-                await stream.send_all(response)
+                for part in parts:
+                    await stream.send_all(part)
+                    await trio.sleep(0.01)
 
         serve = functools.partial(trio.serve_tcp, answer, 0, host="127.0.0.1")
         listeners = await nursery.start(serve)
@@ -70,6 +72,16 @@
     await conn.aclose()
 
 
+async def test_arriving_bytes_are_progress(connect):
+    """A long answer that still arrives must not count as silence."""
+    response, seen = _make_response(200, ANSWER % b"a"), []
+    conn = await connect(response[:20], response[20:40], response[40:])
+    result = await conn.run_subquery(BODY, _allow, lambda: seen.append(True))
+    assert result.outcome is SubqueryOutcome.ANSWERED
+    assert len(seen) >= 3
+    await conn.aclose()
+
+
 async def test_failed_check_sends_no_byte(connect):
     conn = await connect(_make_response(200, ANSWER % b"a"))
 
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -113,6 +113,29 @@
         assert bench.counters().received == 0
 
 
+@pytest.mark.parametrize("command", [FaultCommand.DRAIN, FaultCommand.LIE])
+async def test_drain_seen_in_the_status_stops_queued_work(nursery, command):
+    async with start_bench(nursery, service=SLOW, **WARM) as bench:
+        replies = []
+        batch = bench.make_batch(count=5, timeout_ms=60_000.0)
+        async with trio.open_nursery() as calls:
+            calls.start_soon(bench.holder.run_batch, batch, replies.append)
+            await _wait_until(lambda: bench.counters().received == 1)
+            bench.fault(command, state="draining")
+            await bench.holder._held["s0"]._poll_once()
+            await _wait_until(lambda: len(replies) == 4)
+            bench.finish_running()
+        assert _outcomes(replies[:4]) == {SubqueryOutcome.DRAINING}
+        assert replies[4].outcome is SubqueryOutcome.ANSWERED
+
+
+async def test_silent_request_is_given_up_before_its_deadline(nursery, monkeypatch):
+    monkeypatch.setattr(held_server, "MAX_PROGRESS_S", 0.05)
+    async with start_bench(nursery, service=SLOW, **WARM) as bench:
+        (reply,) = await bench.run(timeout_ms=60_000.0)
+        assert (reply.outcome, reply.sent) == (SubqueryOutcome.FAILED, True)
+
+
 async def test_domain_out_stops_queued_and_new_work(nursery):
     async with start_bench(nursery, service=SLOW, **WARM) as bench:
         replies = []
