--- a/src/wisteriaworks/backend_client.py
+++ b/src/wisteriaworks/backend_client.py
@@ -88,6 +88,7 @@
         self._stream = stream
         self._pending = []
         self.check = None
+        self.on_bytes = None
         # Set once a byte of the current request may have left.
         self.sent = False
         self.unanswered = False
@@ -103,6 +104,8 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise httpcore.ReadError(str(exc)) from exc
         self.heard_at = trio.current_time()
+        if self.on_bytes is not None:
+            self.on_bytes()
         return data
 
     async def write(self, buffer, timeout=None):
@@ -162,7 +165,7 @@
         }
         self._stream = BackendStream(stream)
         self._http = httpcore.AsyncHTTP11Connection(self._origin, self._stream)
-        self.opened_at = self.idle_since = trio.current_time()
+        self.opened_at = self.idle_since = self.used_at = trio.current_time()
         self.requests = 0
         # A suspect's request is broken off; a non-idempotent one never is.
         self.protected = False
@@ -182,12 +185,14 @@
         """Say whether the connection is idle and not closed by the server."""
         return self.is_idle and not self._stream.get_extra_info("is_readable")
 
-    async def run_subquery(self, body, check):
-        """Return the Result of one sub-query; ``check`` runs right before it leaves.
+    async def run_subquery(self, body, check, on_bytes=None):
+        """Return the Result of one sub-query.
 
-        ``check`` raises SendRefusedError. Cancelling closes the connection.
+        ``check()`` runs right before the first byte leaves and may raise
+        SendRefusedError; ``on_bytes()`` runs whenever bytes arrive. Cancelling
+        closes the connection.
         """
-        self._stream.check = check
+        self._stream.check, self._stream.on_bytes = check, on_bytes
         try:
             status, data = await self._exchange(
                 b"POST", protocol.SUBQUERY_TARGET, _ENCODER.encode(body)
@@ -200,7 +205,7 @@
             failed = SubqueryOutcome.FAILED
             return Result(end, failed, self._stream.sent, detail=repr(exc))
         finally:
-            self._stream.check = None
+            self._stream.check = self._stream.on_bytes = None
 
     async def read_status(self):
         """Return the server's StatusBody, or None if there is none."""
@@ -225,6 +230,7 @@
 
     async def _exchange(self, method, target, content):
         self.requests += 1
+        self.used_at = trio.current_time()
         self._stream.sent = False
         res = await self._http.handle_async_request(
             self._make_request(method, target, content)
--- a/src/wisteriaworks/connection_pool.py
+++ b/src/wisteriaworks/connection_pool.py
@@ -24,6 +24,7 @@
 CONNECT_RETRY_S = 0.5
 # A single unanswered request is usually a straggler.
 STRIKES_BEFORE_PROBE = 2
+STRIKE_SHARE = 0.25
 
 
 class ConnectFailedError(Exception):
@@ -102,14 +103,19 @@
         """Record a request that ended without a byte from the server.
 
         Connections count as suspect when the server has been silent on all of
-        them since ``began_at`` for ``elapsed_limit_s``, or repeatedly.
+        them since ``began_at`` for ``elapsed_limit_s``, or repeatedly for a
+        part of it. A request that was cancelled earlier, because a hedge won,
+        says nothing.
         """
+        waited_s = trio.current_time() - began_at
+        if waited_s < STRIKE_SHARE * elapsed_limit_s:
+            return
         heard_at = max((conn.heard_at for conn in self._expiry), default=-math.inf)
         if max(heard_at, self._heard_at) >= began_at:
             self._strikes = 0
             return
         self._strikes += 1
-        is_long = trio.current_time() - began_at >= elapsed_limit_s
+        is_long = waited_s >= elapsed_limit_s
         if is_long or self._strikes >= STRIKES_BEFORE_PROBE:
             self._suspect(began_at)
 
@@ -209,7 +215,7 @@
         self._suspects.update(
             conn
             for conn in self._expiry
-            if conn.opened_at < since and conn.heard_at < since and not conn.protected
+            if conn.used_at <= since and conn.heard_at < since and not conn.protected
         )
         self._probe_since = since
         self._probe_wanted.set()
--- a/src/wisteriaworks/hedging.py
+++ b/src/wisteriaworks/hedging.py
@@ -20,6 +20,9 @@
 # four is covered and an outage costs at most 1.5 messages per shard.
 RESENDS_PER_REQUEST = 4
 RESENT_SHARE = 0.5
+# Shards of one request that may be late at once and still be hedged.
+HEDGES_AT_ONCE = 2
+HEDGED_SHARE = 0.1
 
 
 class Timers:
@@ -76,6 +79,7 @@
     def __init__(self, shared, shards):
         self._shared = shared
         self._resends = max(RESENDS_PER_REQUEST, int(shards * RESENT_SHARE))
+        self._hedges_at_once = max(HEDGES_AT_ONCE, int(shards * HEDGED_SHARE))
 
     def pick_repeat(self, failed, now):
         """Return the Pick that follows a failed attempt, or None."""
@@ -126,11 +130,16 @@
             progress.retries += 1
 
     def pick_hedges(self, shards, now):
-        """Return the Picks for late shards, and the shards without a token."""
+        """Return the Picks for late shards, and the shards to look at again.
+
+        When many shards of a request are late, they wait in queues. A hedge
+        would wait as well, and would take a token from a straggler.
+        """
+        late = [p for p in shards if not p.done and len(p.in_flight) == 1]
+        if len(late) > self._hedges_at_once:
+            return [], late
         picks, refused = [], []
-        for progress in shards:
-            if progress.done or len(progress.in_flight) != 1:
-                continue
+        for progress in late:
             if not self._shared.hedge_budget.has_token():
                 refused.append(progress)
                 continue
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -152,3 +152,12 @@
     for _ in range(10):
         pool.note_unanswered(began_at, 0.0)
     assert pool._probe_since is None
+
+
+async def test_early_cancellation_makes_no_suspects(make_pool):
+    """Losers of hedges are cancelled early; their connections are not silent."""
+    pool = make_pool()
+    await pool.acquire()
+    for _ in range(10):
+        pool.note_unanswered(trio.current_time(), 2.0)
+    assert pool._probe_since is None
