--- a/src/wisteriaworks/api.py
+++ b/src/wisteriaworks/api.py
@@ -18,6 +18,9 @@
 
 PREFIX = "/v1/searches/"
 CLOSE = (b"connection", b"close")
+# Time in which an entry whose failure domain is out still accepts requests
+# that the balancer sends before it notices that the entry is not ready.
+OUT_GRACE_S = 2.0
 _BODY_DECODER = msgspec.json.Decoder(SearchBody)
 _REFUSALS = frozenset(
     {
@@ -127,8 +130,6 @@
         self._metrics = metrics
         self._reports = reports
         self.running = 0
-        # Tells callers to open new connections elsewhere during a stop.
-        self.closing = False
         # Refuses requests that arrive after the balancer's lag.
         self.refusing = False
 
@@ -143,7 +144,8 @@
         self.running += 1
         try:
             answer = await self._answer(scope, receive)
-            headers = (JSON, CLOSE) if self.closing else (JSON,)
+            # Tells callers to open their next connection elsewhere.
+            headers = (JSON, CLOSE) if self._session.is_retiring() else (JSON,)
             await send_response(send, answer.status, answer.body, headers)
         finally:
             self.running -= 1
@@ -228,8 +230,10 @@
                 ErrorKind.DEADLINE_PASSED,
                 "the deadline passed before the request arrived",
             )
-        if self.refusing:
-            return RequestError(ErrorKind.ENTRY_STOPPING, "the entry is stopping")
+        if self.refusing or self._session.seconds_out() > OUT_GRACE_S:
+            return RequestError(
+                ErrorKind.ENTRY_STOPPING, "the entry is going out of service"
+            )
         if self._session.is_fenced():
             return RequestError(
                 ErrorKind.ENTRY_FENCED, "the entry cannot confirm its configuration"
--- a/src/wisteriaworks/backend_emulator.py
+++ b/src/wisteriaworks/backend_emulator.py
@@ -16,7 +16,7 @@
 from wisteriaworks.emulated_server import EmulatedServer
 from wisteriaworks.emulator_http import make_reply, serve_stream
 from wisteriaworks.errors import WisteriaError
-from wisteriaworks.events import Event, log_event
+from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.generated.emulator import EmulatorSettings, Fault, FaultCommand
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.rpc import split_address
@@ -182,7 +182,11 @@
             self.line_error(exc.message)
             return exc.exit_code
         configure_logs(cfg.log, "wisteria-backend", cfg.control)
-        trio.run(_run_until_signalled, cfg)
+        try:
+            trio.run(_run_until_signalled, cfg)
+        except Exception as exc:
+            log_failure(exc)
+            raise
         log_event(Event.PROCESS_STOPPED)
         return 0
 
--- a/src/wisteriaworks/entry.py
+++ b/src/wisteriaworks/entry.py
@@ -39,10 +39,6 @@
 from wisteriaworks.view_store import ViewStore
 
 PROGRAM = "wisteria-entry"
-# Time in which an entry whose failure domain is out still accepts requests
-# that the balancer sends before it notices that the entry is not ready.
-OUT_GRACE_S = 2.0
-WATCH_INTERVAL_S = 0.1
 # Control asks for one server of a replica set at a time. After this time the
 # entry releases the rest by itself.
 HANDOVER_S = 5.0
@@ -54,7 +50,6 @@
     def __init__(self, cfg, stack):
         self._cfg = cfg
         self._stack = stack
-        self._lag_is_over = False
         self._stop_api = trio.Event()
         self._api_stopped = trio.Event()
 
@@ -92,7 +87,6 @@
         stop = await start(wait_for_stop)
         await start(self._rpc.serve, cfg.peer)
         self.nursery.start_soon(self.session.run)
-        self.nursery.start_soon(self._watch_domain)
         await start(
             serve_http, AdminApp(self.is_ready, self._reports.render), cfg.admin
         )
@@ -126,17 +120,10 @@
         )
         self._api_stopped.set()
 
-    async def _watch_domain(self):
-        while True:
-            out = self.session.seconds_out()
-            self.api.closing = self.session.stopping or out > 0
-            self.api.refusing = self._lag_is_over or out > OUT_GRACE_S
-            await trio.sleep(WATCH_INTERVAL_S)
-
     async def _stop(self):
         self.session.stopping = True
         await trio.sleep(self._cfg.balancer_lag_s)
-        self._lag_is_over = self.api.refusing = True
+        self.api.refusing = True
         await wait_until(lambda: self.api.running == 0 and self._claims.running == 0)
         with trio.move_on_after(HANDOVER_S):
             await wait_until(lambda: not self.session.is_holding())
--- a/src/wisteriaworks/served_server.py
+++ b/src/wisteriaworks/served_server.py
@@ -162,6 +162,8 @@
 
     def _reply(self, job, outcome):
         incarnation = self.model.incarnation
+        if job.body.snapshot not in self.model.snapshots:
+            return self._refuse(Refusal.SNAPSHOT_GONE)
         if outcome == "run":
             answer = protocol.AnswerBody(
                 msgspec.Raw(self.model.results(job)),
