Measure how a control member grows

Cause: docs/CAPACITY.md is named by the design page but does not exist. Tried: bench/capacity.py measures each size of each part in a new process and fits a line per figure. So far: heartbeats, memory, placement, routes and the configuration document, inside one process.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,47 @@
+"""Measure how the parts of the system grow, and extend the lines.
+
+Each size of each part is measured in a process of its own, so that figures of
+memory are not those of another part. ``--part`` chooses parts by a word.
+"""
+
+import argparse
+import concurrent.futures
+import multiprocessing
+import platform
+
+import capacity_control
+from capacity_fit import render_table
+from loguru import logger
+
+PARTS = {part.name: part for part in capacity_control.PARTS}
+
+
+def measure_one(name, size):
+    """Return the values of one part at one size."""
+    logger.remove()
+    return PARTS[name].measure(size)
+
+
+def measure_in_child(name, size):
+    """Return the values of one part at one size, from a new process."""
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(1, context) as pool:
+        return pool.submit(measure_one, name, size).result()
+
+
+def main():
+    """Print one table per part."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--part", default="", help="only parts with this in the name")
+    parser.add_argument("--sizes", type=int, nargs="+", help="instead of the usual")
+    args = parser.parse_args()
+    print(f"Python {platform.python_version()}")
+    for part in PARTS.values():
+        if args.part in part.name:
+            sizes = args.sizes or part.sizes
+            rows = {size: measure_in_child(part.name, size) for size in sizes}
+            print("", *render_table(part, rows), sep="\n", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity_control.py
@@ -0,0 +1,377 @@
+"""Measure how a control member grows, inside one process."""
+
+import functools
+import time
+
+import msgspec
+import trio
+import uuid_utils
+from capacity_data import (
+    DESIGN_ENTRIES,
+    DESIGN_SERVERS,
+    REPEATS,
+    count_bytes,
+    count_entries,
+    count_servers,
+    make_document,
+    make_heartbeat,
+    make_reply,
+    make_routes,
+    measure_growth,
+    pass_over_wire,
+    time_ms,
+)
+from capacity_fit import Part
+
+from wisteriaworks import codec
+from wisteriaworks.assigner import Assigner
+from wisteriaworks.configuration import check_document
+from wisteriaworks.control_node import ControlNode, read_wall_ms
+from wisteriaworks.control_service import ControlService
+from wisteriaworks.generated import commands, messages
+from wisteriaworks.generated.settings import ControlSettings
+from wisteriaworks.metrics import create_unexported_metrics
+from wisteriaworks.operations import OperationTable
+from wisteriaworks.placement import EntryMode, PlacementEntry, PlacementInput, place
+from wisteriaworks.state_machine import StateMachine, encode_command
+
+ANSWER = b'{"pass":"valid","plate":"CB 1234 AB"}' * 8
+DIGEST_BYTES = 32
+# The assigner looks at the balance 5 s after the last session was opened.
+SETTLING_STEPS = 40
+STEP_S = 0.25
+REPORTS_S = 3.0
+
+
+class _Replica:
+    """Lead alone and apply each command at once."""
+
+    is_leader = True
+    term = 1
+    leader_address = "127.0.0.1:1"
+
+    def __init__(self, machine):
+        self._machine = machine
+
+    async def propose(self, data):
+        return self._machine.apply(self._machine.applied_index + 1, data)
+
+    async def confirm_leader(self):
+        await trio.lowlevel.checkpoint()
+
+
+def _make_node():
+    address = "127.0.0.1:1"
+    cfg = ControlSettings(
+        name="c", domain="d", address=address, admin=address, data_folder=""
+    )
+    node = ControlNode(cfg, create_unexported_metrics())
+    node.replica = _Replica(node.machine)
+    return node
+
+
+async def _fill(node, entries, servers):
+    """Open sessions and put a document whose servers go round the sessions."""
+    for number in range(entries):
+        beat = make_heartbeat(number)
+        await node.propose(commands.OpenSession(beat.name, beat.domain, beat.address))
+    operation = str(uuid_utils.uuid7())
+    document = make_document(servers)
+    await node.propose(commands.PutConfiguration(operation, 0, document))
+    sessions = sorted(node.machine.sessions)
+    names = enumerate(node.machine.servers)
+    held = {name: sessions[n % entries] for n, name in names}
+    await node.propose(commands.Assign(servers=held))
+
+
+async def _report(node):
+    """Send the full reports of all sessions; return encoded idle heartbeats."""
+    handle = ControlService(node).list_handlers()[messages.Heartbeat]
+    sessions = sorted(node.machine.sessions)
+    beats = [make_heartbeat(n, number) for n, number in enumerate(sessions)]
+    for beat in beats:
+        reply = await handle(msgspec.structs.replace(beat, full=True), None)
+    known = {"config_version": 1, "route_version": reply.route_version}
+    idle = [codec.encode(msgspec.structs.replace(b, **known)) for b in beats]
+    return handle, idle
+
+
+def measure_heartbeat(entries):
+    """Time the handling of a heartbeat when nothing changed, codec included."""
+    return trio.run(_measure_heartbeat, entries)
+
+
+async def _measure_heartbeat(entries):
+    node = _make_node()
+    await _fill(node, entries, count_servers(entries))
+    handle, idle = await _report(node)
+    rounds = [await _time_beats(handle, idle) for _ in range(REPEATS)]
+    beat = codec.decode(idle[0])
+    reply = await handle(beat, None)
+    assert not reply.routes and reply.document is None
+    return {
+        "one heartbeat, us": min(rounds),
+        "all sessions twice a second, % of a core": min(rounds) * entries * 2 / 1e4,
+        "heartbeat with frame, bytes": count_bytes(beat),
+        "reply with frame, bytes": count_bytes(reply),
+    }
+
+
+async def _time_beats(handle, beats):
+    began = time.process_time_ns()
+    for beat in beats:
+        codec.encode(await handle(codec.decode(beat), None))
+    return (time.process_time_ns() - began) / 1e3 / len(beats)
+
+
+def measure_sessions(entries):
+    """Measure the memory of sessions without servers."""
+
+    async def fill():
+        node = _make_node()
+        node.propose = functools.partial(_propose_encoded, node)
+        await _fill(node, entries, 0)
+        node.lead()
+        return node
+
+    return {"memory, kB": measure_growth(functools.partial(trio.run, fill))}
+
+
+async def _propose_encoded(node, command):
+    return await node.replica.propose(encode_command(command, read_wall_ms()))
+
+
+def measure_servers(servers):
+    """Measure the memory of servers, holdings and routes at the leader."""
+    return {
+        "document, kB": measure_growth(lambda: _put_document(servers)),
+        "holdings and routes with reports, kB": _measure_routes(servers),
+    }
+
+
+def _put_document(servers):
+    machine = StateMachine()
+    command = commands.PutConfiguration(
+        str(uuid_utils.uuid7()), 0, make_document(servers)
+    )
+    machine.apply(1, encode_command(command, read_wall_ms()))
+    return machine
+
+
+def _measure_routes(servers):
+    return trio.run(_measure_routes_of, servers)
+
+
+async def _measure_routes_of(servers):
+    node = _make_node()
+    await _fill(node, count_entries(servers), servers)
+    await _report(node)
+    leader = node.lead()
+    reports = [
+        (r.holder, _make_report(r)) for r in make_routes(node.machine.document, 1)
+    ]
+
+    def accept():
+        for _, report in reports:
+            session = node.machine.holdings[report.server].session
+            leader.accept_reports(session, (_pass_report(session, report),))
+
+    return measure_growth(accept)
+
+
+def _make_report(route):
+    return messages.ServerReport(
+        server=route.server,
+        epoch=1,
+        incarnation="0123456789abcdef",
+        state=route.state,
+        snapshots=route.snapshots,
+    )
+
+
+def _pass_report(session, report):
+    beat = make_heartbeat(0, session)
+    sent = msgspec.structs.replace(beat, reports=(report,))
+    return pass_over_wire(sent).reports[0]
+
+
+def measure_claims(count):
+    """Measure claims with an answer of a few hundred bytes, and a snapshot."""
+    machine = None
+
+    def fill():
+        nonlocal machine
+        machine = _claim(count)
+
+    grown = measure_growth(fill)
+    return {
+        "memory, kB": grown,
+        "snapshot of the state, kB": len(machine.encode_snapshot()) / 1000,
+        "encoding the snapshot, ms": time_ms(machine.encode_snapshot),
+    }
+
+
+def _claim(count):
+    machine = StateMachine()
+    index = 1
+    opened = commands.OpenSession("e", "d", "a:1")
+    session = machine.apply(index, encode_command(opened, read_wall_ms()))
+    for number in range(count):
+        request = str(uuid_utils.uuid7())
+        digest = number.to_bytes(DIGEST_BYTES)
+        claim = messages.Claim(session, "app", request, digest)
+        done = messages.ClaimState.DONE
+        resolve = messages.Resolve(session, "app", request, done, ANSWER)
+        for command in commands.ClaimRequest(claim), commands.ResolveRequest(resolve):
+            index += 1
+            machine.apply(index, encode_command(command, read_wall_ms()))
+    return machine
+
+
+def measure_operations(count):
+    """Measure the memory of kept operations."""
+    return {"memory, kB": measure_growth(lambda: _keep_operations(count))}
+
+
+def _keep_operations(count):
+    table = OperationTable()
+    for number in range(count):
+        key = (number << 80).to_bytes(16)
+        result = messages.ProposeResult.ACCEPTED
+        digest = number.to_bytes(16)
+        table.add(commands.OperationRecord(key, digest, result, number + 1000))
+    return table
+
+
+def measure_placement(servers):
+    """Time the placement of servers and a step of the assigner that is idle."""
+    return trio.run(_measure_placement, servers)
+
+
+async def _measure_placement(servers):
+    entries = count_entries(servers)
+    node = _make_node()
+    await _fill(node, entries, servers)
+    document, sessions = node.machine.document, node.machine.sessions
+    active = [
+        PlacementEntry(number, record.domain, EntryMode.ACTIVE)
+        for number, record in sessions.items()
+    ]
+    holders = {name: h.session for name, h in node.machine.holdings.items()}
+    moves = max(2, servers // 100)
+    given = PlacementInput(document, tuple(active), frozenset(), {}, 0)
+    first = time_ms(place, given, repeats=2)
+    placed = place(given)
+    balanced = PlacementInput(document, tuple(active), frozenset(), placed, moves)
+    rack = frozenset(list(sessions)[:: max(2, entries // 40)])
+    left = {name: s for name, s in placed.items() if s not in rack}
+    rest = tuple(entry for entry in active if entry.session not in rack)
+    lost = PlacementInput(document, rest, frozenset(), left, 0)
+    assert len(holders) == servers
+    return {
+        "place() of all servers, ms": first,
+        "place() with nothing to move, ms": time_ms(place, balanced, repeats=2),
+        "place() after the loss of 1 in 40 entries, ms": time_ms(
+            place, lost, repeats=2
+        ),
+        "idle step of the assigner, ms": await _time_idle_step(node),
+    }
+
+
+async def _time_idle_step(node):
+    """Return the processor time of a step for which nothing is left to do."""
+    assigner = Assigner(node)
+    _, idle = await _report(node)
+    handle = ControlService(node).list_handlers()[messages.Heartbeat]
+    spent = []
+    for _ in range(SETTLING_STEPS):
+        for beat in idle:
+            await handle(codec.decode(beat), None)
+        began = time.process_time_ns()
+        await assigner.step()
+        spent.append((time.process_time_ns() - began) / 1e6)
+        await trio.sleep(0)
+    return min(spent)
+
+
+def measure_routes(servers):
+    """Measure what it takes to send the route table or a part of it."""
+    document = make_document(servers)
+    routes = make_routes(document, count_entries(servers))
+    full = make_reply(routes=routes, full=True)
+    data = codec.encode(full)
+    one = make_reply(routes=routes[:1])
+    return {
+        "full table, kB": len(data) / 1000,
+        "encode the full table, ms": time_ms(codec.encode, full),
+        "decode the full table, ms": time_ms(codec.decode, data),
+        "reply with one route, bytes": count_bytes(one),
+        "encode one route, us": time_ms(codec.encode, one) * 1000,
+    }
+
+
+def measure_document(servers):
+    """Measure what it takes to accept and send a configuration document."""
+    document = make_document(servers)
+    reply = make_reply(document=document)
+    data = codec.encode(reply)
+    command = commands.PutConfiguration(str(uuid_utils.uuid7()), 0, document)
+    encoded = encode_command(command, read_wall_ms())
+    return {
+        "reply with the document, kB": len(data) / 1000,
+        "encode, ms": time_ms(codec.encode, reply),
+        "decode, ms": time_ms(codec.decode, data),
+        "check_document(), ms": time_ms(check_document, document, repeats=2),
+        "apply the command, ms": time_ms(lambda: StateMachine().apply(1, encoded)),
+    }
+
+
+SERVERS = (1_000, 3_000, 9_000)
+TINY = (20, 40, 60)
+PARTS = (
+    Part(
+        "control: heartbeat",
+        "session",
+        (100, 300, 900),
+        (4, 8, 12),
+        DESIGN_ENTRIES,
+        measure_heartbeat,
+    ),
+    Part(
+        "control: sessions",
+        "session",
+        (1_000, 3_000, 9_000),
+        TINY,
+        DESIGN_ENTRIES,
+        measure_sessions,
+    ),
+    Part("control: servers", "server", SERVERS, TINY, DESIGN_SERVERS, measure_servers),
+    Part(
+        "control: claims",
+        "claim",
+        (10_000, 30_000, 90_000),
+        TINY,
+        None,
+        measure_claims,
+    ),
+    Part(
+        "control: operations",
+        "operation",
+        (2_500, 5_000, 10_000),
+        TINY,
+        None,
+        measure_operations,
+    ),
+    Part(
+        "control: placement",
+        "server",
+        SERVERS,
+        TINY,
+        DESIGN_SERVERS,
+        measure_placement,
+    ),
+    Part("control: routes", "server", SERVERS, TINY, DESIGN_SERVERS, measure_routes),
+    Part(
+        "control: document", "server", SERVERS, TINY, DESIGN_SERVERS, measure_document
+    ),
+)
--- /dev/null
+++ b/bench/capacity_fit.py
@@ -0,0 +1,69 @@
+"""Fit lines to measurements and print them as tables."""
+
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Hold a least-squares line: value = base + slope * size."""
+
+    base: float
+    slope: float
+    # Largest distance of a value from the line, as a share of the largest value.
+    error: float
+
+    def at(self, size):
+        """Return the value of the line at a size."""
+        return self.base + self.slope * size
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """Describe one table: ``measure(size)`` returns values by name."""
+
+    name: str
+    size_name: str
+    sizes: tuple[int, ...]
+    # Sizes for the test of the program.
+    tiny: tuple[int, ...]
+    # Size to which the lines are extended, or None.
+    design: int | None
+    measure: Callable
+
+
+def fit_line(points):
+    """Return the least-squares line through (size, value) points."""
+    sizes, values = zip(*points, strict=True)
+    slope, base = statistics.linear_regression(sizes, values)
+    largest = max(map(abs, values)) or 1.0
+    errors = (abs(value - base - slope * size) for size, value in points)
+    return Line(base, slope, max(errors) / largest)
+
+
+def render_table(part, rows):
+    """Return the Markdown lines of a part; ``rows`` are values by size."""
+    sizes = sorted(rows)
+    head = ["", *(f"{size:,}" for size in sizes), "base"]
+    head += [f"per {part.size_name}", "off line"]
+    head += [f"line at {part.design:,}"] if part.design else []
+    yield f"### {part.name} ({part.size_name}s: {', '.join(head[1 : 1 + len(sizes)])})"
+    yield ""
+    yield f"| {' | '.join(head)} |"
+    yield "|---" * len(head) + "|"
+    for name in rows[sizes[0]]:
+        points = [(size, rows[size][name]) for size in sizes]
+        yield f"| {' | '.join([name, *_list_cells(part, points)])} |"
+
+
+def _list_cells(part, points):
+    line = fit_line(points)
+    values = [value for _, value in points]
+    extended = [line.at(part.design)] if part.design else []
+    numbers = [*map(_render, (*values, line.base, line.slope))]
+    return [*numbers, f"{line.error:.0%}", *map(_render, extended)]
+
+
+def _render(value):
+    return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.4g}"
