Measure how an entry and running control members grow

Cause: the figures inside one process leave out connections, the log and disk. Tried: real control programs with one and three members under heartbeats and claims; an entry's view, catalogue, search, messages and holder. bench/holder.py takes the number of sub-queries of a batch.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,10 +10,13 @@
 import platform
 
 import capacity_control
+import capacity_entry
+import capacity_members
 from capacity_fit import render_table
 from loguru import logger
 
-PARTS = {part.name: part for part in capacity_control.PARTS}
+_MODULES = (capacity_control, capacity_members, capacity_entry)
+PARTS = {part.name: part for module in _MODULES for part in module.PARTS}
 
 
 def measure_one(name, size):
--- a/bench/capacity_data.py
+++ b/bench/capacity_data.py
@@ -68,9 +68,9 @@
         indexes=indexes,
         callers={
             f"{name}-caller": Caller(
-                credential_sha256="0" * 64, searches=(name,), timeout_ms=140
+                credential_sha256=f"{number:064}", searches=(name,), timeout_ms=140
             )
-            for name in searches
+            for number, name in enumerate(searches)
         },
         domains={name: Domain() for name in DOMAINS},
     )
--- /dev/null
+++ b/bench/capacity_entry.py
@@ -0,0 +1,320 @@
+"""Measure how an entry grows: its picture of the system and its requests."""
+
+import argparse
+import contextlib
+import functools
+import multiprocessing
+import tempfile
+import time
+
+import holder as holder_bench
+import msgspec
+import search as search_bench
+import trio
+from capacity_data import (
+    DESIGN_ENTRIES,
+    DESIGN_SERVERS,
+    REPEATS,
+    count_bytes,
+    make_document,
+    make_reply,
+    make_routes,
+    measure_growth,
+    read_cpu_s,
+    read_resident,
+)
+from capacity_fit import Part
+
+from wisteriaworks import codec, processes, rpc
+from wisteriaworks.catalog import CatalogCache
+from wisteriaworks.generated.settings import EntrySettings
+from wisteriaworks.generated.subqueries import (
+    SubqueryBatch,
+    SubqueryItem,
+    SubqueryOutcome,
+    SubqueryReply,
+)
+from wisteriaworks.holder import Holder
+from wisteriaworks.lease import Lease
+from wisteriaworks.local_layout import IndexLayout, Layout
+from wisteriaworks.local_system import LocalSystem
+from wisteriaworks.peers import Peers
+from wisteriaworks.session import Session
+from wisteriaworks.view_store import ViewStore
+
+# Holds no server, so that the entry opens no connection.
+SESSION = DESIGN_ENTRIES + 1
+IDLE_S = 5.0
+EMULATOR_START_S = 1.5
+RESULTS = b'[{"id":"s-1","score":1,"fields":{"plate":"CB"}}]' * 10
+BATCHES = 2000
+AT_ONCE = 20
+
+
+class _Control:
+    """Answer the next heartbeat with given bytes."""
+
+    def __init__(self):
+        self.data = b""
+        self.sent = b""
+
+    async def call(self, message, timeout_s):
+        await trio.lowlevel.checkpoint()
+        self.sent = codec.encode(message)
+        return codec.decode(self.data)
+
+
+class _Entry:
+    """Hold the parts of an entry that follow control."""
+
+    def __init__(self, holder):
+        cfg = EntrySettings(
+            name="entry-0001",
+            domain="region-1-a",
+            api="127.0.0.1:1",
+            peer="127.0.0.1:2",
+            admin="127.0.0.1:3",
+            control=("127.0.0.1:4",),
+        )
+        self.control = _Control()
+        self.session = Session(cfg, self.control, holder, Lease(), ViewStore(None))
+        self.catalogs = CatalogCache()
+
+    async def renew(self, reply):
+        """Adopt a reply; return the processor time in milliseconds."""
+        self.control.data = codec.encode(reply)
+        began = time.process_time_ns()
+        await self.session.renew()
+        return (time.process_time_ns() - began) / 1e6
+
+    def rank(self):
+        """Plan a search of every index; return the processor time in ms."""
+        began = time.process_time_ns()
+        view = self.session.view
+        catalog = self.catalogs.find(view)
+        for name in view.document.indexes:
+            catalog.rank_snapshots((name,))
+        return (time.process_time_ns() - began) / 1e6
+
+
+@contextlib.asynccontextmanager
+async def _open_entry():
+    async with Holder(Lease()) as holder:
+        yield _Entry(holder)
+
+
+def _make_full_reply(servers, version=1):
+    document = make_document(servers)
+    reply = make_reply(document, make_routes(document, DESIGN_ENTRIES), full=True)
+    return msgspec.structs.replace(reply, session=SESSION, config_version=version)
+
+
+def measure_memory(servers):
+    """Measure the memory of the configuration, the routes and the catalogue."""
+    return trio.run(_measure_memory, servers)
+
+
+async def _measure_memory(servers):
+    async with _open_entry() as entry:
+        entry.control.data = codec.encode(_make_full_reply(servers))
+        view_kb = await _measure_growth(entry.session.renew)
+        rank_kb = measure_growth(entry.rank)
+        held = entry.session.view
+    assert len(held.routes) == servers
+    return {"configuration and routes, kB": view_kb, "catalogue, kB": rank_kb}
+
+
+async def _measure_growth(renew):
+    before = measure_growth(lambda: None) + read_resident() / 1000
+    await renew()
+    return measure_growth(lambda: None) + read_resident() / 1000 - before
+
+
+def measure_adoption(servers):
+    """Time heartbeats that bring nothing, a route, and all of it."""
+    return trio.run(_measure_adoption, servers)
+
+
+async def _measure_adoption(servers):
+    full = _make_full_reply(servers)
+    idle = msgspec.structs.replace(full, document=None, routes=(), full=False)
+    async with _open_entry() as entry:
+        first = [(await entry.renew(full), entry.rank())]
+        nothing = [(await entry.renew(idle), entry.rank()) for _ in range(REPEATS)]
+        one = [await _adopt_route(entry, idle, full, n) for n in range(REPEATS)]
+        new = [await _adopt_document(entry, full, n) for n in range(2, 2 + REPEATS)]
+        sent = len(entry.control.sent)
+    figures = {}
+    for name, spent in (
+        ("nothing changed", nothing),
+        ("one route", one),
+        ("configuration", new),
+        ("everything", first),
+    ):
+        figures[f"{name}: heartbeat, ms"] = min(ms for ms, _ in spent)
+        figures[f"{name}: planning all indexes, ms"] = min(ms for _, ms in spent)
+    beat_ms, plan_ms = map(min, zip(*nothing, strict=True))
+    figures["idle heartbeat loop, % of a core"] = beat_ms * 2 / 10
+    figures["the same with planning, % of a core"] = (beat_ms + plan_ms) * 2 / 10
+    figures["idle heartbeat loop, bytes a second"] = 2 * (
+        sent + 9 + count_bytes(msgspec.structs.replace(idle))
+    )
+    return figures
+
+
+async def _adopt_route(entry, idle, full, number):
+    route = msgspec.structs.replace(full.routes[number], epoch=100 + number)
+    reply = msgspec.structs.replace(idle, routes=(route,))
+    return await entry.renew(reply), entry.rank()
+
+
+async def _adopt_document(entry, full, version):
+    reply = msgspec.structs.replace(full, config_version=version, routes=(), full=False)
+    return await entry.renew(reply), entry.rank()
+
+
+def measure_search(holders, fan_out):
+    """Time planning, fan-out and merge of a search, without network."""
+    args = argparse.Namespace(hits=10, searches=100, rounds=REPEATS)
+    count = min(holders, 2 * fan_out)
+    rounds = trio.run(search_bench.measure, fan_out, count, args)
+    return {
+        "one search, us": min(rounds),
+        "one sub-query, us": min(rounds) / fan_out,
+    }
+
+
+def measure_holder(fan_out):
+    """Time the holder with HTTP to servers in another process."""
+    holder_bench.PORT = processes.find_free_ports(1)[0]
+    context = multiprocessing.get_context("fork")
+    child = context.Process(target=holder_bench.run_emulator, daemon=True)
+    child.start()
+    time.sleep(EMULATOR_START_S)
+    batches = max(50, 4000 // fan_out)
+    results = [
+        trio.run(holder_bench.measure_holder, fan_out, batches) for _ in range(3)
+    ]
+    child.terminate()
+    child.join()
+    assert all(answered == total for _, answered, total in results)
+    cost_us = min(cost for cost, *_ in results)
+    return {"one batch, us": cost_us * fan_out, "one sub-query, us": cost_us}
+
+
+def measure_peers(items):
+    """Time both ends of a batch message between entries with its replies."""
+    return trio.run(_measure_peers, items)
+
+
+async def _measure_peers(items):
+    server = rpc.RpcServer({SubqueryBatch: _answer_batch})
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(server.serve, "127.0.0.1:0")
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        async with Peers("127.0.0.1:1", None) as peers:
+            spent = [await _time_batches(peers, address, items) for _ in range(3)]
+        nursery.cancel_scope.cancel()
+    return {"one batch, us": min(spent), "one sub-query, us": min(spent) / items}
+
+
+async def _answer_batch(batch, send):
+    for item in batch.items:
+        send(
+            SubqueryReply(
+                item.attempt, SubqueryOutcome.ANSWERED, True, 1, results=RESULTS
+            )
+        )
+
+
+async def _time_batches(peers, address, items):
+    asked = tuple(SubqueryItem(n, f"s{n}", 1, f"s{n}") for n in range(items))
+    count = BATCHES // items // AT_ONCE + 1
+    began = time.process_time_ns()
+    async with trio.open_nursery() as nursery:
+        for task in range(AT_ONCE):
+            nursery.start_soon(_send_batches, peers, address, asked, count, task)
+    return (time.process_time_ns() - began) / 1e3 / (count * AT_ONCE)
+
+
+async def _send_batches(peers, address, asked, count, task):
+    for number in range(count):
+        name = f"{task}-{number}"
+        batch = SubqueryBatch(name, "r", 1, 1, 5000.0, True, b"{}", asked)
+        async with peers.stream(address, batch, 5.0) as replies:
+            received = [reply async for reply in replies]
+        assert len(received) == len(asked)
+
+
+def measure_idle(entries):
+    """Measure idle entries and a control member of the real programs."""
+    return trio.run(_measure_idle, entries)
+
+
+async def _measure_idle(entries):
+    layout = Layout(
+        domains=("a", "b"),
+        indexes=(IndexLayout("gate-desk", replica_sets=3),),
+        entries=entries,
+        controls=1,
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        async with LocalSystem(layout, folder) as system:
+            await system.start()
+            groups = {"entry": system.entries, "control": system.controls}
+            before = _read_groups(groups)
+            began = time.monotonic()
+            await trio.sleep(IDLE_S)
+            elapsed = time.monotonic() - began
+            after = _read_groups(groups)
+    return {
+        key: value
+        for name in groups
+        for key, value in (
+            (f"{name}, resident, MB", after[name][1]),
+            (
+                f"{name}, % of a core",
+                (after[name][0] - before[name][0]) / elapsed * 100,
+            ),
+        )
+    }
+
+
+def _read_groups(groups):
+    """Return processor seconds and resident megabytes, the mean of a group."""
+    figures = {}
+    for name, group in groups.items():
+        pids = [process.pid for process in group.values()]
+        cpu = sum(map(read_cpu_s, pids)) / len(pids)
+        figures[name] = cpu, sum(map(read_resident, pids)) / len(pids) / 1e6
+    return figures
+
+
+SERVERS = (1_000, 3_000, 9_000)
+FAN_OUTS = (4, 20, 57)
+TINY = (20, 40, 60)
+PARTS = (
+    Part("entry: memory", "server", SERVERS, TINY, DESIGN_SERVERS, measure_memory),
+    Part("entry: adoption", "server", SERVERS, TINY, DESIGN_SERVERS, measure_adoption),
+    Part(
+        "entry: search over 10 holders",
+        "sub-query",
+        FAN_OUTS,
+        (2, 3, 4),
+        None,
+        functools.partial(measure_search, 10),
+    ),
+    Part(
+        "entry: search, a holder per server",
+        "sub-query",
+        FAN_OUTS,
+        (2, 3, 4),
+        None,
+        functools.partial(measure_search, 2 * max(FAN_OUTS)),
+    ),
+    Part(
+        "entry: messages", "sub-query", (1, 4, 20, 57), (1, 2, 3), None, measure_peers
+    ),
+    Part("entry: holder", "sub-query", FAN_OUTS, (), None, measure_holder),
+    Part("idle programs", "entry", (1, 2, 4), (), None, measure_idle),
+)
--- /dev/null
+++ b/bench/capacity_members.py
@@ -0,0 +1,229 @@
+"""Measure running control members: their heartbeats and their claims."""
+
+import functools
+import itertools
+import tempfile
+import time
+
+import msgspec
+import trio
+import uuid_utils
+from capacity_data import (
+    DESIGN_ENTRIES,
+    count_servers,
+    make_document,
+    make_heartbeat,
+    read_cpu_s,
+    read_resident,
+)
+from capacity_fit import Part
+
+from wisteriaworks.control_client import ControlClient
+from wisteriaworks.generated.messages import Claim, ClaimResult, ClaimState, Resolve
+from wisteriaworks.local_layout import Layout
+from wisteriaworks.local_system import LocalSystem
+from wisteriaworks.rpc import Channel
+
+INTERVAL_S = 0.5
+TIMEOUT_S = 20.0
+# Placement and balance are over some seconds after the last session opened.
+SETTLE_S = 9.0
+WINDOW_S = 6.0
+CLAIMS_S = 3.0
+ANSWER = b'{"pass":"valid","plate":"CB 1234 AB"}' * 8
+OPENING_AT_ONCE = 20
+
+
+class _Members:
+    """Run control members of the real program, without a list of VMs."""
+
+    def __init__(self, count):
+        layout = Layout(domains=("a",), indexes=(), entries=0, controls=count)
+        self._folder = tempfile.TemporaryDirectory()
+        self.system = LocalSystem(layout, self._folder.name)
+        self.system.control_settings = tuple(
+            msgspec.structs.replace(cfg, platform=None)
+            for cfg in self.system.control_settings
+        )
+
+    async def __aenter__(self):
+        await self.system.__aenter__()
+        await self.system.start_control()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.system.__aexit__(*exc_info)
+        self._folder.cleanup()
+
+    async def find_leader(self):
+        """Return the settings of the leader."""
+        await self.system.read_status()
+        leader = self.system.control.leader
+        settings = self.system.control_settings
+        return next(cfg for cfg in settings if cfg.address == leader)
+
+    def read_cpu(self):
+        """Return the processor seconds of each member by name."""
+        controls = self.system.controls
+        return {name: read_cpu_s(process.pid) for name, process in controls.items()}
+
+    def read_resident(self, name):
+        """Return the resident set of a member in bytes."""
+        return read_resident(self.system.controls[name].pid)
+
+
+class _Beater:
+    """Send the heartbeats of one session over a connection of its own."""
+
+    def __init__(self, number, address):
+        self.message = make_heartbeat(number, full=True)
+        self.calls = 0
+        self.changes = 0
+        self._address = address
+        self._opened = trio.Event()
+
+    async def open(self, nursery, limiter):
+        """Open the session and keep it up."""
+        nursery.start_soon(self._run, limiter)
+        await self._opened.wait()
+
+    async def _run(self, limiter):
+        async with Channel(self._address) as channel:
+            async with limiter:
+                await self._beat(channel)
+            self._opened.set()
+            for _ in itertools.count():
+                began = trio.current_time()
+                await self._beat(channel)
+                await trio.sleep_until(began + INTERVAL_S)
+
+    async def _beat(self, channel):
+        reply = await channel.call(self.message, TIMEOUT_S)
+        self.calls += 1
+        self.changes += len(reply.routes)
+        self.message = msgspec.structs.replace(
+            self.message,
+            session=reply.session,
+            config_version=reply.config_version,
+            route_version=reply.route_version,
+            full=not self.message.session,
+        )
+
+
+def measure_heartbeats(members, sessions):
+    """Measure the members while sessions send a heartbeat every 0.5 s."""
+    return trio.run(_measure_heartbeats, members, sessions)
+
+
+async def _measure_heartbeats(count, sessions):
+    async with _Members(count) as members, trio.open_nursery() as nursery:
+        leader = await members.find_leader()
+        beaters = [_Beater(n, leader.address) for n in range(sessions)]
+        limiter = trio.CapacityLimiter(OPENING_AT_ONCE)
+        async with trio.open_nursery() as opening:
+            for beater in beaters:
+                opening.start_soon(beater.open, nursery, limiter)
+        await members.system.apply(make_document(count_servers(sessions)), 0)
+        await trio.sleep(SETTLE_S)
+        used = await _watch(members, beaters)
+        nursery.cancel_scope.cancel()
+    leading = used.pop(leader.name)
+    follower = {"a follower, % of a core": max(used.values())} if used else {}
+    return {**leading, **follower}
+
+
+async def _watch(members, beaters):
+    """Return the load of each member; the leader's is that of the busiest."""
+    calls, changes = (sum(b.calls for b in beaters), sum(b.changes for b in beaters))
+    before, began = members.read_cpu(), time.monotonic()
+    await trio.sleep(WINDOW_S)
+    elapsed = time.monotonic() - began
+    after = members.read_cpu()
+    used = {name: (after[name] - before[name]) / elapsed * 100 for name in after}
+    calls = sum(b.calls for b in beaters) - calls
+    leader = max(used, key=used.get)
+    used[leader] = {
+        "leader, % of a core": used[leader],
+        "heartbeats a second": calls / elapsed,
+        "leader, us of processor per heartbeat": used[leader] * 1e4 * elapsed / calls,
+        "leader, resident, MB": members.read_resident(leader) / 1e6,
+        "routes sent meanwhile": sum(b.changes for b in beaters) - changes,
+    }
+    return used
+
+
+def measure_claims(members, at_once):
+    """Measure claims with their outcomes, a number of them at a time."""
+    return trio.run(_measure_claims, members, at_once)
+
+
+async def _measure_claims(count, at_once):
+    async with _Members(count) as members, trio.open_nursery() as nursery:
+        leader = await members.find_leader()
+        beater = _Beater(0, leader.address)
+        await beater.open(nursery, trio.CapacityLimiter(1))
+        before, began = members.read_cpu(), time.monotonic()
+        counts = await _claim_for(CLAIMS_S, leader.address, beater, at_once)
+        elapsed = time.monotonic() - began
+        used = {n: s - before[n] for n, s in members.read_cpu().items()}
+        nursery.cancel_scope.cancel()
+    proposals = 2 * sum(counts)
+    leading = used.pop(leader.name)
+    figures = {
+        "time of a batch of claims and outcomes, ms": at_once
+        * elapsed
+        * 1e3
+        / sum(counts),
+        "proposals a second": proposals / elapsed,
+        "leader, us of processor per proposal": leading / proposals * 1e6,
+        "leader, us of processor per batch": leading / sum(counts) * at_once * 1e6,
+    }
+    if used:
+        follower = max(used.values()) / proposals * 1e6
+        figures["a follower, us of processor per proposal"] = follower
+    return figures
+
+
+async def _claim_for(seconds, address, beater, at_once):
+    counts = [0] * at_once
+    async with ControlClient((address,)) as client, trio.open_nursery() as nursery:
+        deadline = trio.current_time() + seconds
+        for task in range(at_once):
+            nursery.start_soon(_claim_until, deadline, client, beater, counts, task)
+    return counts
+
+
+async def _claim_until(deadline, client, beater, counts, task):
+    session = beater.message.session
+    while trio.current_time() < deadline:
+        request = str(uuid_utils.uuid7())
+        claim = Claim(session, "app", request, bytes(32))
+        reply = await client.call(claim, TIMEOUT_S)
+        assert reply.result is ClaimResult.GRANTED
+        done = Resolve(session, "app", request, ClaimState.DONE, ANSWER)
+        await client.call(done, TIMEOUT_S)
+        counts[task] += 1
+
+
+PARTS = tuple(
+    Part(f"members: {kind}, {count} running", size_name, sizes, tiny, design, measure)
+    for count in (1, 3)
+    for kind, size_name, sizes, tiny, design, measure in (
+        (
+            "heartbeats",
+            "session",
+            (100, 200, 400),
+            (),
+            DESIGN_ENTRIES,
+            functools.partial(measure_heartbeats, count),
+        ),
+        (
+            "claims",
+            "request at once",
+            (1, 16, 64, 256),
+            (),
+            None,
+            functools.partial(measure_claims, count),
+        ),
+    )
+)
--- a/bench/holder.py
+++ b/bench/holder.py
@@ -69,7 +69,8 @@
     )
 
 
-def _run_emulator():
+def run_emulator():
+    """Run the servers until the process is ended."""
     trio.run(Emulator(_make_settings()).run)
 
 
@@ -130,20 +131,21 @@
     return EXCHANGES
 
 
-def _make_batch(number):
+def _make_batch(number, fan_out):
     items = tuple(
-        SubqueryItem(n, f"s{n % SERVERS}", 1, shard) for n, shard in enumerate(SHARDS)
+        SubqueryItem(n, f"s{n % SERVERS}", 1, SHARDS[n % len(SHARDS)])
+        for n in range(fan_out)
     )
     return SubqueryBatch(f"b{number}", "r", 1, 1, 5000.0, True, QUERY, items)
 
 
-async def _run_batches(holder, count, profile):
+async def _run_batches(holder, count, fan_out, profile=None):
     replies = []
     if profile is not None:
         profile.enable()
     began_s = time.process_time()
     for number in range(count):
-        await holder.run_batch(_make_batch(number), replies.append)
+        await holder.run_batch(_make_batch(number, fan_out), replies.append)
     spent_s = time.process_time() - began_s
     if profile is not None:
         profile.disable()
@@ -151,14 +153,22 @@
     return spent_s, answered, len(replies)
 
 
-async def _measure_holder(profile):
+async def measure_holder(fan_out, batches=BATCHES, profile=None):
+    """Return the processor time per sub-query in microseconds, and two counts.
+
+    The counts are those of the sub-queries answered and of all.
+    """
     lease = Lease()
     lease.renew(0.0, float("inf"))
     async with Holder(lease, random.Random(1)) as holder:
         holder.apply_view(_make_view(), SESSION)
-        await _run_batches(holder, WARM_UP_BATCHES, None)
-        spent_s, answered, total = await _run_batches(holder, BATCHES, profile)
-    cost_us = spent_s / total * 1e6
+        await _run_batches(holder, WARM_UP_BATCHES, len(SHARDS))
+        spent_s, answered, total = await _run_batches(holder, batches, fan_out, profile)
+    return spent_s / total * 1e6, answered, total
+
+
+async def _print_holder(profile):
+    cost_us, answered, total = await measure_holder(len(SHARDS), profile=profile)
     print(f"holder: {cost_us:.0f} us per sub-query, {answered} of {total} answered")
 
 
@@ -186,12 +196,12 @@
     parser.add_argument("--profile", action="store_true")
     profile = cProfile.Profile() if parser.parse_args().profile else None
     logger.remove()
-    child = multiprocessing.Process(target=_run_emulator, daemon=True)
+    child = multiprocessing.Process(target=run_emulator, daemon=True)
     child.start()
     time.sleep(1.5)
     for exchange in (_exchange_bytes, _exchange_httpcore, _exchange_adapter):
         trio.run(_measure, exchange)
-    trio.run(_measure_holder, profile)
+    trio.run(_print_holder, profile)
     child.terminate()
     child.join()
     if profile is not None:
