Keep the view while nothing changes, and share partition maps

Cause: each heartbeat made a new view, so that an entry rebuilt its table of servers, looked at every route and compared every index twice a second. Each decoded route held its own copy of the 57 names of its partition map. Tried: Session keeps the view when a reply brings nothing, Holder looks at the routes only for a new view, and equal partition maps are one object at entries and at the leader. The assigner keeps its table of holders between changes.

--- a/src/wisteriaworks/assigner.py
+++ b/src/wisteriaworks/assigner.py
@@ -51,6 +51,8 @@
         # Server to the holding that its entry was asked to release. A request
         # stays until it is met, since heartbeats are rarer than steps.
         self._requested = {}
+        self._holders = {}
+        self._holders_revision = None
         # The state for which nothing remains to be placed or balanced.
         self._placed_for = None
         self._balanced_for = None
@@ -110,11 +112,7 @@
     async def _assign(self, leader):
         now = trio.current_time()
         machine = self._node.machine
-        holders = {
-            name: holding.session
-            for name, holding in machine.holdings.items()
-            if holding.session
-        }
+        holders = self._list_holders()
         if not leader.may_send_routes(now) or self._is_starting(holders, now):
             return
         given = self._describe(leader, holders, now)
@@ -132,6 +130,18 @@
         if given.max_moves and not self._requested:
             self._balanced_for = key
 
+    def _list_holders(self):
+        """Return the session of each held server, as long as none changed."""
+        machine = self._node.machine
+        if self._holders_revision != machine.revision:
+            self._holders_revision = machine.revision
+            self._holders = {
+                name: holding.session
+                for name, holding in machine.holdings.items()
+                if holding.session
+            }
+        return self._holders
+
     def _describe(self, leader, holders, now):
         machine = self._node.machine
         entries = tuple(
--- a/src/wisteriaworks/holder.py
+++ b/src/wisteriaworks/holder.py
@@ -42,6 +42,7 @@
         self._rng = rng or random.Random()
         self._view = EMPTY_VIEW
         self._session = 0
+        self._wanted = {}
         self._held = {}
         self._closing = {}
         self._released = {}
@@ -63,8 +64,10 @@
 
     def apply_view(self, view, session):
         """Take and give up servers so that they match the routes."""
-        self._view, self._session = view, session
-        wanted = self._find_wanted()
+        if view is not self._view or session != self._session:
+            self._view, self._session = view, session
+            self._wanted = self._find_wanted()
+        wanted = self._wanted
         for name, held in tuple(self._held.items()):
             route = wanted.get(name)
             if route is None or not self._matches(held, route):
--- a/src/wisteriaworks/route_table.py
+++ b/src/wisteriaworks/route_table.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from wisteriaworks.generated.messages import Route, ServerState
+from wisteriaworks.partition_maps import PartitionMaps
 
 TERM_SHIFT_BITS = 40
 # Removed servers are remembered for entries that have not heard of them.
@@ -39,6 +40,7 @@
         self._changes = OrderedDict()
         self._removed = OrderedDict()
         self._reports = {}
+        self._maps = PartitionMaps()
         self._listed = ()
         self._listed_version = self.version
 
@@ -70,7 +72,7 @@
             return False
         if (holding.session, holding.epoch) != (session, report.epoch):
             return False
-        self._reports[report.server] = report
+        self._reports[report.server] = self._maps.share(report)
         return True
 
     def remove(self, server):
--- a/src/wisteriaworks/session.py
+++ b/src/wisteriaworks/session.py
@@ -10,7 +10,8 @@
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.messages import EntryState, Heartbeat
 from wisteriaworks.generated.settings import OnControlLoss
-from wisteriaworks.view import EMPTY_VIEW, View
+from wisteriaworks.partition_maps import PartitionMaps
+from wisteriaworks.view import EMPTY_VIEW
 
 FIRST_HEARTBEAT_S = 0.5
 HEARTBEAT_TIMEOUT_S = 1.5
@@ -26,6 +27,7 @@
         self._lease = lease
         self._store = store
         self._route_version = 0
+        self._maps = PartitionMaps()
         self._leader_epoch = None
         self._heartbeat_s = FIRST_HEARTBEAT_S
         self._lease_s = 0.0
@@ -146,13 +148,19 @@
             self._store.save(version, document)
             log_event(Event.CONFIGURATION_ADOPTED, version=version)
         assert version >= self.view.config_version, "configuration must not revert"
+        self._route_version = reply.route_version
+        self.view = self.view.replace(version, document, self._merge_routes(reply))
+        self._note_domain()
+
+    def _merge_routes(self, reply):
+        """Return the routes after a reply, the same object if none changed."""
+        if not (reply.full or reply.routes or reply.removed):
+            return self.view.routes
         routes = {} if reply.full else dict(self.view.routes)
-        routes.update((route.server, route) for route in reply.routes)
+        routes.update((r.server, self._maps.share(r)) for r in reply.routes)
         for server in reply.removed:
             routes.pop(server, None)
-        self._route_version = reply.route_version
-        self.view = View(version, document, routes)
-        self._note_domain()
+        return routes
 
     def _note_domain(self):
         if not self.view.is_domain_out(self._cfg.domain):
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -170,3 +170,20 @@
     (tmp_path / "configuration.json").write_text("{")
     with pytest.raises(SettingsError, match="damaged"):
         ViewStore(tmp_path).load()
+
+
+async def test_view_is_kept_while_nothing_changes(autojump_clock):
+    """A new view makes the holder and the catalogue look at every server."""
+    replies = [
+        change(full=True, routes=(create_route("x"),)),
+        change(),
+        change(config_version=2, document=OUT),
+    ]
+    session, _, _ = create_session(replies)
+    await session.renew()
+    first = session.view
+    await session.renew()
+    assert session.view is first
+    await session.renew()
+    assert session.view is not first
+    assert session.view.routes is first.routes
