Ping only connections on which no calls show that they work

Cause: every channel sent a ping each 0.5 s, as often as an entry sends its heartbeat, so half of the frames that control read were pings. Tried: no ping while something was heard within the interval and something was sent within SILENCE_S. The second condition keeps a reader of a long stream from being closed by its server. A silent connection is still closed 2.0 to 2.5 s after the last byte.

--- a/src/wisteriaworks/rpc.py
+++ b/src/wisteriaworks/rpc.py
@@ -43,8 +43,10 @@
         self._stream = stream
         self._queue = []
         self._wake = trio.Event()
+        self.put_at = trio.current_time()
 
     def put(self, frame):
+        self.put_at = trio.current_time()
         self._queue.append(pack_frame(frame))
         self._wake.set()
 
@@ -117,10 +119,21 @@
 
     async def _watch(self, scope):
         while trio.current_time() - self._heard < SILENCE_S:
-            self._writer.put(Frame(0, FrameKind.PING))
+            if not self._is_busy():
+                self._writer.put(Frame(0, FrameKind.PING))
             await trio.sleep(PING_INTERVAL_S)
         scope.cancel()
 
+    def _is_busy(self):
+        """Say whether calls show both ends that the connection works.
+
+        The peer closes a connection on which it hears nothing, so what is
+        heard alone does not replace a ping.
+        """
+        now = trio.current_time()
+        is_heard = now - self._heard < PING_INTERVAL_S
+        return is_heard and now - self._writer.put_at < SILENCE_S
+
 
 class _Replies:
     """Iterate over the replies to one message until the peer ends them."""
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -120,3 +120,48 @@
                 await channel.call(ReadStatus(), 3600.0)
             assert caught.value.sent is True
     assert len(accepted) == 2
+
+
+@pytest.fixture
+def kinds(autojump_clock, monkeypatch):
+    """Return the kinds of the frames that servers receive from now on."""
+    autojump_clock.autojump_threshold = 0.01
+    received = []
+    handle = rpc._Served._handle
+
+    def record(self, frame, nursery):
+        received.append(frame.kind)
+        handle(self, frame, nursery)
+
+    monkeypatch.setattr(rpc._Served, "_handle", record)
+    return received
+
+
+@pytest.mark.parametrize(("interval_s", "has_pings"), [(0.3, False), (1.3, True)])
+async def test_only_quiet_connections_are_pinged(
+    autojump_clock, connect, kinds, interval_s, has_pings
+):
+    """Pings beside calls cost control as much as the heartbeats."""
+    _, channel = await connect({CancelAttempts: _echo_later})
+    async with channel:
+        for _ in range(8):
+            await channel.call(CancelAttempts("a", (1,)), 1.0)
+            await trio.sleep(interval_s)
+    # The first one is sent before anything was heard.
+    assert (kinds.count(FrameKind.PING) > 1) == has_pings
+
+
+async def test_reader_of_a_long_stream_is_not_taken_for_silent(
+    autojump_clock, connect, kinds
+):
+    """A server closes a connection on which it hears nothing for 10 s."""
+
+    async def trickle(message, send):
+        for _ in range(30):
+            send(Acknowledged())
+            await trio.sleep(0.4)
+
+    _, channel = await connect({ReadStatus: trickle})
+    async with channel, channel.stream(ReadStatus(), 60.0) as replies:
+        assert len([reply async for reply in replies]) == 30
+    assert FrameKind.PING in kinds[2:]
