Measure control members over changes of the leader

Cause: in one run with three members and 400 sessions the leadership changed after the configuration was put, and the heartbeats failed on NotLeader. Tried: sessions follow the leader with ControlClient, as entries do, and the table prints the elections.

--- a/bench/capacity_members.py
+++ b/bench/capacity_members.py
@@ -22,7 +22,6 @@
 from wisteriaworks.generated.messages import Claim, ClaimResult, ClaimState, Resolve
 from wisteriaworks.local_layout import Layout
 from wisteriaworks.local_system import LocalSystem
-from wisteriaworks.rpc import Channel
 
 INTERVAL_S = 0.5
 TIMEOUT_S = 20.0
@@ -55,6 +54,15 @@
         await self.system.__aexit__(*exc_info)
         self._folder.cleanup()
 
+    @property
+    def addresses(self):
+        """Return the addresses of all members, the first leader first."""
+        return tuple(cfg.address for cfg in self.system.control_settings)
+
+    async def read_term(self):
+        """Return the term of the leader."""
+        return (await self.system.read_status()).term
+
     async def find_leader(self):
         """Return the settings of the leader."""
         await self.system.read_status()
@@ -73,13 +81,13 @@
 
 
 class _Beater:
-    """Send the heartbeats of one session over a connection of its own."""
+    """Send the heartbeats of one session over connections of its own."""
 
-    def __init__(self, number, address):
+    def __init__(self, number, addresses):
         self.message = make_heartbeat(number, full=True)
         self.calls = 0
         self.changes = 0
-        self._address = address
+        self._addresses = addresses
         self._opened = trio.Event()
 
     async def open(self, nursery, limiter):
@@ -88,17 +96,17 @@
         await self._opened.wait()
 
     async def _run(self, limiter):
-        async with Channel(self._address) as channel:
+        async with ControlClient(self._addresses) as client:
             async with limiter:
-                await self._beat(channel)
+                await self._beat(client)
             self._opened.set()
             for _ in itertools.count():
                 began = trio.current_time()
-                await self._beat(channel)
+                await self._beat(client)
                 await trio.sleep_until(began + INTERVAL_S)
 
-    async def _beat(self, channel):
-        reply = await channel.call(self.message, TIMEOUT_S)
+    async def _beat(self, client):
+        reply = await client.call(self.message, TIMEOUT_S)
         self.calls += 1
         self.changes += len(reply.routes)
         self.message = msgspec.structs.replace(
@@ -117,8 +125,8 @@
 
 async def _measure_heartbeats(count, sessions):
     async with _Members(count) as members, trio.open_nursery() as nursery:
-        leader = await members.find_leader()
-        beaters = [_Beater(n, leader.address) for n in range(sessions)]
+        term = await members.read_term()
+        beaters = [_Beater(n, members.addresses) for n in range(sessions)]
         limiter = trio.CapacityLimiter(OPENING_AT_ONCE)
         async with trio.open_nursery() as opening:
             for beater in beaters:
@@ -126,14 +134,18 @@
         await members.system.apply(make_document(count_servers(sessions)), 0)
         await trio.sleep(SETTLE_S)
         used = await _watch(members, beaters)
+        elections = await members.read_term() - term
         nursery.cancel_scope.cancel()
-    leading = used.pop(leader.name)
+    leading = {**used.pop(None), "elections meanwhile": elections}
     follower = {"a follower, % of a core": max(used.values())} if used else {}
     return {**leading, **follower}
 
 
 async def _watch(members, beaters):
-    """Return the load of each member; the leader's is that of the busiest."""
+    """Return the load of each follower by name, and the leader's under None.
+
+    The leader is the busiest member.
+    """
     calls, changes = (sum(b.calls for b in beaters), sum(b.changes for b in beaters))
     before, began = members.read_cpu(), time.monotonic()
     await trio.sleep(WINDOW_S)
@@ -142,10 +154,11 @@
     used = {name: (after[name] - before[name]) / elapsed * 100 for name in after}
     calls = sum(b.calls for b in beaters) - calls
     leader = max(used, key=used.get)
-    used[leader] = {
-        "leader, % of a core": used[leader],
+    busiest = used.pop(leader)
+    used[None] = {
+        "leader, % of a core": busiest,
         "heartbeats a second": calls / elapsed,
-        "leader, us of processor per heartbeat": used[leader] * 1e4 * elapsed / calls,
+        "leader, us of processor per heartbeat": busiest * 1e4 * elapsed / calls,
         "leader, resident, MB": members.read_resident(leader) / 1e6,
         "routes sent meanwhile": sum(b.changes for b in beaters) - changes,
     }
@@ -160,7 +173,7 @@
 async def _measure_claims(count, at_once):
     async with _Members(count) as members, trio.open_nursery() as nursery:
         leader = await members.find_leader()
-        beater = _Beater(0, leader.address)
+        beater = _Beater(0, members.addresses)
         await beater.open(nursery, trio.CapacityLimiter(1))
         before, began = members.read_cpu(), time.monotonic()
         counts = await _claim_for(CLAIMS_S, leader.address, beater, at_once)
