--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test lint format bench capacity generate
+.PHONY: demo test soak lint format bench microbench capacity generate
 
 .venv/installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -15,6 +15,16 @@
 test: .venv/installed
 	$(BIN)/python -m pytest
 
+# Multiplies the cases of the randomised tests; their seeds are fixed by hypothesis.
+SOAK ?= 20
+SOAK_TESTS := $(addprefix tests/test_,claims.py consensus.py holder.py placement.py \
+	ramp.py route_table.py search.py state_machine.py)
+
+soak: .venv/installed
+	@echo "seed: derandomized by hypothesis; cases: $(SOAK) times those of make test"
+	WISTERIA_SOAK=$(SOAK) $(BIN)/python -m pytest --timeout 3600 \
+		--hypothesis-show-statistics $(SOAK_TESTS)
+
 lint: .venv/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -29,6 +39,9 @@
 	$(BIN)/python tools/settings_page.py
 
 bench: .venv/installed
+	$(BIN)/wisteria-load run examples/experiments/*.yaml --out out/bench
+
+microbench: .venv/installed
 	for transport in http frames frames-batched grpc-unary grpc-stream; do \
 		$(BIN)/python bench/transport.py $$transport || exit 1; done
 	$(BIN)/python bench/search.py
