--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,10 +12,18 @@
 import capacity_control
 import capacity_entry
 import capacity_members
+import capacity_placement
+import capacity_subquery
 from capacity_fit import render_table
 from loguru import logger
 
-_MODULES = (capacity_control, capacity_members, capacity_entry)
+_MODULES = (
+    capacity_control,
+    capacity_placement,
+    capacity_members,
+    capacity_entry,
+    capacity_subquery,
+)
 PARTS = {part.name: part for module in _MODULES for part in module.PARTS}
 
 
