--- a/src/wisteriaworks/admin.py
+++ b/src/wisteriaworks/admin.py
@@ -4,10 +4,11 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from wisteriaworks.asgi import run_lifespan, send_response
 from wisteriaworks.metrics import render_metrics
 
 GRACEFUL_TIMEOUT_S = 30.0
-_TEXT = b"text/plain; version=0.0.4; charset=utf-8"
+_HEADERS = ((b"content-type", b"text/plain; version=0.0.4; charset=utf-8"),)
 
 
 class AdminApp:
@@ -23,9 +24,9 @@
     async def __call__(self, scope, receive, send):
         match scope["type"]:
             case "lifespan":
-                await _run_lifespan(receive, send)
+                await run_lifespan(receive, send)
             case "http":
-                await _respond(send, *self._answer(scope))
+                await send_response(send, *self._answer(scope), _HEADERS)
 
     def _answer(self, scope):
         if scope["method"] not in ("GET", "HEAD"):
@@ -54,17 +55,3 @@
     cfg.graceful_timeout = GRACEFUL_TIMEOUT_S
     trigger = stop.wait if stop is not None else None
     await serve(app, cfg, shutdown_trigger=trigger, task_status=task_status)
-
-
-async def _run_lifespan(receive, send):
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
-async def _respond(send, status, body):
-    headers = [(b"content-type", _TEXT), (b"content-length", b"%d" % len(body))]
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": body})
--- a/src/wisteriaworks/api.py
+++ b/src/wisteriaworks/api.py
@@ -13,8 +13,8 @@
 from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.generated.api import SearchBody
 from wisteriaworks.generated.document import Caller, Routing, Search
-from wisteriaworks.request_id import parse_request_id
 from wisteriaworks.search import SearchRequest
+from wisteriaworks.uuid7 import parse_uuid7
 
 PREFIX = "/v1/searches/"
 CLOSE = (b"connection", b"close")
@@ -84,14 +84,18 @@
 def _parse_body(data, search):
     try:
         body = _BODY_DECODER.decode(data)
-        request_id = parse_request_id(body.request_id)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except msgspec.MsgspecError as exc:
         raise RequestError(ErrorKind.MALFORMED_REQUEST, f"body: {exc}") from exc
+    parsed = parse_uuid7(body.request_id)
+    if parsed is None:
+        raise RequestError(
+            ErrorKind.MALFORMED_REQUEST, "body: request_id is not a UUIDv7"
+        )
     if search.routing is Routing.KEYED and body.routing_key is None:
         raise RequestError(
             ErrorKind.MALFORMED_REQUEST, "body: a keyed search needs a routing_key"
         )
-    return msgspec.structs.replace(body, request_id=request_id)
+    return msgspec.structs.replace(body, request_id=parsed.text)
 
 
 def _create_request(target, body, deadline):
--- a/src/wisteriaworks/control_client.py
+++ b/src/wisteriaworks/control_client.py
@@ -1,9 +1,8 @@
 """Call the control leader, whichever member it is."""
 
-import contextlib
-
 import trio
 
+from wisteriaworks.background import BackgroundTasks
 from wisteriaworks.errors import ControlError, RpcError
 from wisteriaworks.generated.messages import NotLeader
 from wisteriaworks.rpc import Channel
@@ -15,26 +14,16 @@
 RETRY_PAUSE_S = 0.1
 
 
-class ControlClient:
+class ControlClient(BackgroundTasks):
     """Call the control leader. Use as an asynchronous context manager."""
 
     def __init__(self, addresses):
+        super().__init__()
         self.addresses = tuple(addresses)
         # Address of the last member that answered as the leader, or None.
         self.leader = None
         self._channels = {}
         self._opening = trio.Lock()
-        self._stack = contextlib.AsyncExitStack()
-        self._nursery = None
-
-    async def __aenter__(self):
-        manager = trio.open_nursery()
-        self._nursery = await self._stack.enter_async_context(manager)
-        return self
-
-    async def __aexit__(self, *exc_info):
-        self._nursery.cancel_scope.cancel()
-        return await self._stack.__aexit__(*exc_info)
 
     async def call(self, message, timeout_s):
         """Return the leader's reply to a message. Raises ControlError."""
--- a/src/wisteriaworks/holder.py
+++ b/src/wisteriaworks/holder.py
@@ -4,12 +4,12 @@
 the session changes, so that no lease of a new session covers old holdings.
 """
 
-import contextlib
 import functools
 import random
 
 import trio
 
+from wisteriaworks.background import BackgroundTasks
 from wisteriaworks.generated.messages import Release
 from wisteriaworks.generated.subqueries import SubqueryOutcome
 from wisteriaworks.held_server import HeldServer
@@ -35,10 +35,11 @@
             self.finished.set()
 
 
-class Holder:
+class Holder(BackgroundTasks):
     """Run sub-queries on the servers that the routes assign to this entry."""
 
     def __init__(self, lease, rng=None):
+        super().__init__()
         self._lease = lease
         self._rng = rng or random.Random()
         self._view = EMPTY_VIEW
@@ -49,20 +50,12 @@
         self._released = {}
         self._batches = {}
         self._was_valid = False
-        self._stack = contextlib.AsyncExitStack()
-        self._nursery = None
 
     async def __aenter__(self):
-        async with contextlib.AsyncExitStack() as stack:
-            self._nursery = await stack.enter_async_context(trio.open_nursery())
-            self._nursery.start_soon(self._watch_lease)
-            self._stack = stack.pop_all()
+        await super().__aenter__()
+        self._nursery.start_soon(self._watch_lease)
         return self
 
-    async def __aexit__(self, *exc_info):
-        self._nursery.cancel_scope.cancel()
-        return await self._stack.__aexit__(*exc_info)
-
     def apply_view(self, view, session):
         """Take and give up servers so that they match the routes."""
         if view is not self._view or session != self._session:
--- a/src/wisteriaworks/peers.py
+++ b/src/wisteriaworks/peers.py
@@ -7,6 +7,7 @@
 import trio
 
 from wisteriaworks import rpc
+from wisteriaworks.background import BackgroundTasks
 from wisteriaworks.errors import RpcError
 from wisteriaworks.events import log_failure
 from wisteriaworks.generated.subqueries import CancelAttempts
@@ -27,7 +28,7 @@
     used_at: float = 0.0
 
 
-class Peers:
+class Peers(BackgroundTasks):
     """Reach holders by address. Use as an asynchronous context manager.
 
     ``local`` serves the own address in process. It has
@@ -35,20 +36,10 @@
     """
 
     def __init__(self, own_address, local):
+        super().__init__()
         self._own_address = own_address
         self._local = local
         self._links = {}
-        self._stack = contextlib.AsyncExitStack()
-        self._nursery = None
-
-    async def __aenter__(self):
-        manager = trio.open_nursery()
-        self._nursery = await self._stack.enter_async_context(manager)
-        return self
-
-    async def __aexit__(self, *exc_info):
-        self._nursery.cancel_scope.cancel()
-        return await self._stack.__aexit__(*exc_info)
 
     def stream(self, address, batch, timeout_s):
         """Return a context manager that yields an iterator over the replies.
--- a/src/wisteriaworks/rpc.py
+++ b/src/wisteriaworks/rpc.py
@@ -13,6 +13,7 @@
 import trio
 
 from wisteriaworks import codec
+from wisteriaworks.background import BackgroundTasks
 from wisteriaworks.errors import RpcError
 from wisteriaworks.framing import (
     READ_BYTES,
@@ -167,24 +168,14 @@
         raise RpcError(f"{self._address} did not answer in time", sent=True)
 
 
-class Channel:
+class Channel(BackgroundTasks):
     """Call one peer. Use as an asynchronous context manager."""
 
     def __init__(self, address):
+        super().__init__()
         self.address = address
         self._connection = None
         self._connecting = trio.Lock()
-        self._stack = contextlib.AsyncExitStack()
-        self._nursery = None
-
-    async def __aenter__(self):
-        manager = trio.open_nursery()
-        self._nursery = await self._stack.enter_async_context(manager)
-        return self
-
-    async def __aexit__(self, *exc_info):
-        self._nursery.cancel_scope.cancel()
-        return await self._stack.__aexit__(*exc_info)
 
     async def call(self, message, timeout_s):
         """Return the reply to a message. Raises RpcError."""
--- a/src/wisteriaworks/uuid7.py
+++ b/src/wisteriaworks/uuid7.py
@@ -14,6 +14,11 @@
     key: bytes
     time_ms: int
 
+    @property
+    def text(self):
+        """Return the canonical text form."""
+        return str(uuid.UUID(bytes=self.key))
+
 
 def parse_uuid7(text):
     """Return a UUIDv7 as ``TimedId``, or None if the text is not one."""
