--- a/tests/emulation.py
+++ b/tests/emulation.py
@@ -4,6 +4,7 @@
 import random
 
 import msgspec
+import trio
 
 from wisteriaworks.backend_emulator import Emulator
 from wisteriaworks.generated import emulator as settings
@@ -16,6 +17,19 @@
 
 SHARDS = ("a", "b", "c")
 SESSION = 7
+SLOW = settings.ServiceTime(median_ms=60_000.0, sigma=0.0)
+WARM = {"start_cold": False}
+
+
+def list_outcomes(replies):
+    """Return the outcomes of replies without repetition."""
+    return {reply.outcome for reply in replies}
+
+
+async def wait_until(condition):
+    """Wait for a condition; the run's own time-out bounds it."""
+    while not condition():
+        await trio.sleep(0.005)
 
 
 def make_settings(count=1, **profile):
