--- a/src/wisteriaworks/admission.py
+++ b/src/wisteriaworks/admission.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from wisteriaworks.concurrency_limit import ConcurrencyLimit
 from wisteriaworks.latency import QuantileEstimate
 
 LOWEST_PRIORITY = 9
@@ -13,6 +14,9 @@
 # A request is refused if hardly any recent answer was complete in the time it
 # has left. A higher quantile would refuse requests that often succeed.
 QUICK_QUANTILE = 0.05
+# Answers that needed more of their time than this waited in queues, so the
+# entry does not accept more at once because of them.
+EASY_SHARE = 0.5
 
 
 class Refusal(Enum):
@@ -29,6 +33,7 @@
     number: int
     search: str
     started_at: float
+    time_left_s: float
 
 
 class Admission:
@@ -41,6 +46,7 @@
         self._running = {}
         self._numbers = itertools.count()
         self._quick = {}
+        self._limit = ConcurrencyLimit()
 
     @property
     def running(self):
@@ -49,22 +55,28 @@
 
     def admit(self, search, priority, time_left_s, max_running, now):
         """Return a Ticket or a Refusal."""
-        if len(self._running) >= _limit_priority(priority, max_running):
+        limit = self._limit.read(max_running)
+        if len(self._running) >= _limit_priority(priority, limit):
             return Refusal.TOO_MANY_RUNNING
         if time_left_s < self._read_quick(search, now):
             return Refusal.DEADLINE_TOO_SHORT
-        ticket = Ticket(next(self._numbers), search, now)
+        ticket = Ticket(next(self._numbers), search, now, time_left_s)
         self._running[ticket.number] = ticket
         return ticket
 
-    def finish(self, ticket, complete, now):
+    def finish(self, ticket, complete, now, overloaded=False):
         """End a running request.
 
-        Only complete answers count as recent times: partial answers end at
+        ``overloaded`` says that shards are missing for lack of time. Only
+        complete answers count as recent times: partial answers end at
         their deadline and say nothing about the time an answer needs.
         """
+        running = len(self._running)
         del self._running[ticket.number]
-        if complete:
+        if overloaded:
+            self._limit.note_overload(running, ticket.started_at, now)
+        if complete and now - ticket.started_at <= EASY_SHARE * ticket.time_left_s:
+            self._limit.note_complete()
             self._find(ticket.search).observe(now - ticket.started_at, now)
 
     def _read_quick(self, search, now):
--- a/src/wisteriaworks/answers.py
+++ b/src/wisteriaworks/answers.py
@@ -8,6 +8,8 @@
 from wisteriaworks.generated.api import AnswerBody, ErrorBody, RecordedAnswer
 from wisteriaworks.merge import Coverage
 
+# Reasons of missing shards that lost replicas and drains do not cause.
+_OVERLOAD_REASONS = frozenset({"timed_out", "queue_full", "shed"})
 _ENCODER = msgspec.json.Encoder()
 _COMPLETE = "complete"
 _ONE_SHARD = Coverage(total=1, answered=1)
@@ -21,6 +23,8 @@
     status: int
     body: bytes
     complete: bool = False
+    # Shards are missing for lack of time.
+    overloaded: bool = False
 
     def encode_record(self):
         """Return the answer as it is kept in the replicated state."""
@@ -47,7 +51,17 @@
         coverage=coverage,
         results=result.hits,
     )
-    return Answer(request_id, 200, _ENCODER.encode(body), outcome == _COMPLETE)
+    return Answer(
+        request_id,
+        200,
+        _ENCODER.encode(body),
+        complete=outcome == _COMPLETE,
+        overloaded=_is_overloaded(coverage),
+    )
+
+
+def _is_overloaded(coverage):
+    return any(shard.reason in _OVERLOAD_REASONS for shard in coverage.missing)
 
 
 def create_error(request_id, exc, result=None):
@@ -64,4 +78,7 @@
         coverage=result.coverage if result else None,
         results=result.hits if result else None,
     )
-    return Answer(request_id, spec.http_status, _ENCODER.encode(body))
+    overloaded = result is not None and _is_overloaded(result.coverage)
+    return Answer(
+        request_id, spec.http_status, _ENCODER.encode(body), overloaded=overloaded
+    )
--- a/src/wisteriaworks/api.py
+++ b/src/wisteriaworks/api.py
@@ -206,17 +206,18 @@
             raise RequestError(
                 ErrorKind.OVERLOADED, f"the entry is overloaded: {ticket.value}"
             )
-        complete = False
+        complete = overloaded = False
         try:
             if target.search.idempotent:
                 answer = await self._run_search(view, request)
             else:
                 digest = _compute_digest(request)
                 answer = await self._claims.run(view, request, digest)
-            complete = answer.complete
+            complete, overloaded = answer.complete, answer.overloaded
             return answer
         finally:
-            self._admission.finish(ticket, complete, trio.current_time())
+            now = trio.current_time()
+            self._admission.finish(ticket, complete, now, overloaded)
 
     async def _run_search(self, view, request):
         started = trio.current_time()
--- /dev/null
+++ b/tests/test_concurrency_limit.py
@@ -0,0 +1,39 @@
+"""Guard against an entry that accepts more than the servers can answer."""
+
+import pytest
+
+from wisteriaworks.concurrency_limit import ConcurrencyLimit
+
+
+def test_nothing_is_limited_before_an_overload():
+    limit = ConcurrencyLimit()
+    limit.note_complete()
+    assert limit.read(200) == 200
+
+
+def test_overload_shrinks_once_for_the_requests_of_its_time():
+    """Requests accepted before would else shrink it down to nothing."""
+    limit = ConcurrencyLimit()
+    for _ in range(50):
+        limit.note_overload(running=100, started_at=1.0, now=2.0)
+    assert limit.read(200) == 70
+    limit.note_overload(running=60, started_at=2.5, now=3.0)
+    assert limit.read(200) == 42
+
+
+@pytest.mark.parametrize("capacity", [3, 10, 40])
+def test_limit_settles_near_the_capacity(capacity):
+    limit, now = ConcurrencyLimit(), 0.0
+    seen = []
+    for step in range(4000):
+        now += 1.0
+        running = limit.read(200)
+        if running > capacity:
+            limit.note_overload(running, now, now)
+        else:
+            limit.note_complete()
+        if step > 2000:
+            seen.append(running)
+    assert min(seen) >= 0.6 * capacity
+    assert sum(seen) / len(seen) >= 0.75 * capacity
+    assert limit.read(200) >= 1
