--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 
 .venv/installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
-	$(BIN)/pip install --quiet --requirement requirements.lock
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	$(BIN)/pip install --quiet --no-compile --disable-pip-version-check --requirement requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
 	touch $@
 
 demo: .venv/installed
