Read changed settings again in every program, with or without SIGHUP

The gateway read its file again, control did not.

Change: SettingsWatch, shared by both programs; control takes over other seeds.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -39,6 +39,7 @@
 from wisteriaworks.rpc import RpcServer, split_address
 from wisteriaworks.server_directory import ServerDirectory
 from wisteriaworks.settings import load_settings
+from wisteriaworks.settings_watch import SettingsWatch
 
 PROGRAM = "wisteria-control"
 STOP_TIMEOUT_S = 10.0
@@ -51,8 +52,10 @@
 class ControlProgram:
     """Run one control member until it is told to stop."""
 
-    def __init__(self, cfg, metrics):
+    def __init__(self, cfg, metrics, path=None):
         self._cfg = cfg
+        self._client = None
+        self._settings = SettingsWatch(path, cfg, self._use_seeds)
         self._node = ControlNode(cfg, metrics)
         self._service = ControlService(self._node)
         self._directory = ServerDirectory()
@@ -101,11 +104,10 @@
 
     async def _serve_operators(self, cfg, *, task_status):
         """Serve a platform's operators, and keep the group by itself."""
-        port = split_address(self._cfg.address)[1]
-        members = list_member_addresses(cfg.seeds, port)
         reader = ListReader(cfg.server_list, wire)
-        client = ControlClient(dict.fromkeys([self._cfg.address, *members]))
+        client = self._client = ControlClient(self._list_addresses(self._cfg))
         async with client, trio.open_nursery() as nursery:
+            nursery.start_soon(self._settings.run)
             nursery.start_soon(join_group, self._node, client)
             nursery.start_soon(MemberKeeper(self._node).run)
             nursery.start_soon(self._follow_list, reader, cfg.list_interval_s)
@@ -113,6 +115,21 @@
             await nursery.start(serve_http, app, cfg.listen)
             task_status.started()
 
+    def reload(self):
+        """Look for changed settings now."""
+        self._settings.check()
+
+    def _use_seeds(self, cfg):
+        if self._client is not None and cfg.operators is not None:
+            self._client.addresses = self._list_addresses(cfg)
+
+    def _list_addresses(self, cfg):
+        """Return where members listen: this one, the seeds and those known."""
+        port = split_address(cfg.address)[1]
+        seeds = list_member_addresses(cfg.operators.seeds, port)
+        members = [m.address for m in self._node.replica.members]
+        return tuple(dict.fromkeys([self._cfg.address, *members, *seeds]))
+
     async def _follow_list(self, reader, interval_s):
         def take(servers):
             if self._directory.replace(servers, trio.current_time()):
@@ -147,14 +164,18 @@
 async def run_until_signal(program):
     """Run a program until SIGTERM or SIGINT; return the exit code.
 
+    SIGHUP makes it look for changed settings.
+
     A second signal, or a stop that takes longer than ``STOP_TIMEOUT_S``,
     ends it with exit code 1.
     """
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*numbers) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(program.run)
             log_event(Event.PROCESS_STARTED)
-            await anext(signals)
+            while await anext(signals) == signal.SIGHUP:
+                program.reload()
             log_event(Event.PROCESS_STOPPING)
             is_drained = await _drain(program, signals)
             nursery.cancel_scope.cancel()
@@ -175,7 +196,8 @@
     with trio.move_on_after(STOP_TIMEOUT_S):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(drain, nursery.cancel_scope)
-            await anext(signals)
+            while await anext(signals) == signal.SIGHUP:
+                pass
             nursery.cancel_scope.cancel()
     return is_drained
 
@@ -230,7 +252,8 @@
     def _run(self, cfg):
         configure_logs(cfg.log, PROGRAM, cfg.name)
         found_group(cfg)
-        program = ControlProgram(cfg, create_metrics(PROGRAM, cfg.name))
+        metrics = create_metrics(PROGRAM, cfg.name)
+        program = ControlProgram(cfg, metrics, self.argument("settings"))
         try:
             return trio.run(functools.partial(run_until_signal, program))
         except* (OSError, WisteriaError) as group:
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -26,6 +26,8 @@
     PROCESS_STOPPED = _Spec(103, "INFO", "process stopped")
     HANDLER_FAILED = _Spec(104, "ERROR", "a message handler failed")
     STOP_TIMED_OUT = _Spec(105, "ERROR", "stop took too long")
+    SETTINGS_RELOADED = _Spec(106, "INFO", "settings read again")
+    SETTINGS_REFUSED = _Spec(107, "ERROR", "changed settings cannot be used")
     # 2xx: entry and control sessions
     SESSION_OPENED = _Spec(201, "INFO", "session opened")
     SESSION_LOST = _Spec(202, "WARNING", "session lost")
@@ -69,7 +71,6 @@
     LIST_READ_DIRECTLY = _Spec(703, "INFO", "gateway reads the list of servers itself")
     REQUEST_UNSERVED = _Spec(704, "WARNING", "request on a route not served")
     ANSWER_PARTIAL = _Spec(705, "INFO", "answer on a route lacks some shards")
-    SETTINGS_RELOADED = _Spec(706, "INFO", "settings read again")
 
 
 def log_failure(exc, **fields):
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -1,9 +1,7 @@
 """The program wisteria-gateway."""
 
-import contextlib
 import functools
 import signal
-from pathlib import Path
 from typing import ClassVar
 
 import trio
@@ -15,7 +13,7 @@
 from hypercorn.trio import serve
 
 from wisteriaworks import __version__
-from wisteriaworks.errors import SettingsError, WisteriaError
+from wisteriaworks.errors import WisteriaError
 from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.gateway.app import GatewayApp
 from wisteriaworks.gateway.control_watch import ControlWatch
@@ -27,14 +25,13 @@
 from wisteriaworks.platform import wire
 from wisteriaworks.rpc import split_address
 from wisteriaworks.settings import load_settings
+from wisteriaworks.settings_watch import SettingsWatch
 
 PROGRAM = "wisteria-gateway"
 # Without an update for this long the gateway reads the list itself.
 LIST_FALLBACK_S = 2.0
 LIST_INTERVAL_S = 1.5
 DRAIN_INTERVAL_S = 0.05
-# Settings files may change without a signal.
-SETTINGS_INTERVAL_S = 1.0
 BACKLOG = 1024
 KEPT_REQUESTS = 1_000_000
 
@@ -49,6 +46,7 @@
         self._stop = trio.Event()
         self.app = None
         self._watch = None
+        self._settings = None
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until ``drain`` has ended or the task is cancelled."""
@@ -61,10 +59,11 @@
             readiness_port = split_address(cfg.readiness)[1]
             self.app = GatewayApp(state, forwarder, wire, readiness_port)
             self._watch = ControlWatch(cfg, state)
+            self._settings = SettingsWatch(self._path, cfg, self._watch.use_seeds)
             nursery.start_soon(self._watch.run)
             nursery.start_soon(forwarder.sweep)
             nursery.start_soon(self._read_list_alone, state)
-            nursery.start_soon(self._watch_settings)
+            nursery.start_soon(self._settings.run)
             serving = functools.partial(serve, shutdown_trigger=self._stop.wait)
             await nursery.start(self._serve, serving)
             task_status.started()
@@ -83,16 +82,8 @@
         await trio.sleep(DRAIN_INTERVAL_S)
 
     def reload(self):
-        """Read the settings again; addresses and budgets stay as they are."""
-        try:
-            cfg = load_settings(self._path, GatewaySettings)
-        except SettingsError as exc:
-            log_event(Event.SETTINGS_RELOADED, problem=exc.message)
-            return
-        if cfg != self._cfg:
-            self._cfg = cfg
-            self._watch.use_seeds(cfg)
-            log_event(Event.SETTINGS_RELOADED, seeds=list(cfg.seeds))
+        """Look for changed settings now; addresses and budgets stay as they are."""
+        self._settings.check()
 
     def _note(self, forwarder, document):
         forwarder.note_servers(document)
@@ -109,22 +100,6 @@
         reader = ListReader(self._cfg.server_list, wire)
         await follow_list(reader, state.take_list, LIST_INTERVAL_S, is_wanted)
 
-    async def _watch_settings(self):
-        if self._path is None:
-            return
-        text = _read_text(self._path)
-        while True:
-            await trio.sleep(SETTINGS_INTERVAL_S)
-            if (changed := _read_text(self._path)) != text:
-                text = changed
-                self.reload()
-
-
-def _read_text(path):
-    # A file that is being replaced is read at the next look.
-    with contextlib.suppress(OSError):
-        return Path(path).read_text()
-
 
 def _make_http_config(cfg):
     http = Config()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 import uuid_utils
 from cleo.testers.application_tester import ApplicationTester
 from control_fakes import Entry, make_document, make_settings, propose
@@ -204,3 +205,24 @@
                 signal.raise_signal(signal.SIGTERM)
                 await trio.sleep(0.1)
     assert codes == [signals - 1]
+
+
+async def test_changed_settings_do_not_end_the_program(cfg):
+    """SIGHUP says that the settings file changed; without a handler it kills."""
+    program = control.ControlProgram(cfg, create_unexported_metrics())
+    codes = []
+
+    async def run():
+        codes.append(await control.run_until_signal(program))
+
+    with trio.fail_after(30):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run)
+            while program.node.replica is None or not program.is_ready():
+                await trio.sleep(0.01)
+            signal.raise_signal(signal.SIGHUP)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            assert codes == []
+            assert program.is_ready()
+            signal.raise_signal(signal.SIGTERM)
+    assert codes == [0]
--- /dev/null
+++ b/tests/test_settings_watch.py
@@ -0,0 +1,61 @@
+"""Guard against changed settings that are missed, or that stop a process."""
+
+from pathlib import Path
+
+import pytest
+import trio
+
+from wisteriaworks.generated.settings import ControlSettings
+from wisteriaworks.settings import load_settings
+from wisteriaworks.settings_watch import INTERVAL_S, SettingsWatch
+
+TEXT = """
+name: c1
+domain: a
+address: 127.0.0.1:7001
+admin: 127.0.0.1:7002
+data_folder: /data
+"""
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(TEXT)
+    return path
+
+
+def make_watch(path):
+    changes = []
+    cfg = load_settings(path, ControlSettings)
+    return SettingsWatch(path, cfg, changes.append), changes
+
+
+async def test_change_without_a_signal_is_noticed(path, nursery, autojump_clock):
+    watch, changes = make_watch(path)
+    nursery.start_soon(watch.run)
+    path.write_text(TEXT + "snapshot_every: 7\n")
+    await trio.sleep(2 * INTERVAL_S)
+    assert [cfg.snapshot_every for cfg in changes] == [7]
+
+
+@pytest.mark.parametrize("text", ["name: [", "name: c1\n", TEXT + "unknown: 1\n"])
+def test_unusable_file_changes_nothing(path, text):
+    watch, changes = make_watch(path)
+    path.write_text(text)
+    watch.check()
+    assert changes == []
+
+
+def test_missing_file_changes_nothing(path):
+    watch, changes = make_watch(path)
+    Path(path).unlink()
+    watch.check()
+    assert changes == []
+
+
+def test_touched_file_changes_nothing(path):
+    watch, changes = make_watch(path)
+    path.write_text(TEXT + "\n# a comment\n")
+    watch.check()
+    assert changes == []
