--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,7 +7,6 @@
 import msgspec
 import pytest
 import trio
-import trio.testing
 import uuid_utils
 from cleo.testers.application_tester import ApplicationTester
 from control_fakes import Entry, make_document, make_settings, propose
@@ -207,9 +206,11 @@
     assert codes == [signals - 1]
 
 
-async def test_changed_settings_do_not_end_the_program(cfg):
+async def test_changed_settings_do_not_end_the_program(cfg, monkeypatch):
     """SIGHUP says that the settings file changed; without a handler it kills."""
     program = control.ControlProgram(cfg, create_unexported_metrics())
+    reloaded = trio.Event()
+    monkeypatch.setattr(program, "reload", reloaded.set)
     codes = []
 
     async def run():
@@ -221,7 +222,7 @@
             while program.node.replica is None or not program.is_ready():
                 await trio.sleep(0.01)
             signal.raise_signal(signal.SIGHUP)
-            await trio.testing.wait_all_tasks_blocked(0.05)
+            await reloaded.wait()
             assert codes == []
             assert program.is_ready()
             signal.raise_signal(signal.SIGTERM)
