Bound cold servers exactly, prefer servers that do not refuse, elect sooner

Cause: (1) a gateway whose part of a cold server's bound is under one request drew by lot per request, so 40 gateways sent 27 in a second where 11 are allowed (test_budgets, found by the new test). (3) a query refused in part beside running sends was answered 503, which promises that nothing ran. (4) after all processes are killed the group elected after 1 to 2 s.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -15,6 +15,7 @@
 from wisteriaworks import __version__
 from wisteriaworks.admin import AdminApp, serve_http
 from wisteriaworks.assigner import Assigner
+from wisteriaworks.consensus import Timing
 from wisteriaworks.control_client import ControlClient
 from wisteriaworks.control_node import ControlNode
 from wisteriaworks.control_service import ControlService
@@ -100,6 +101,9 @@
             self._node.machine,
             random.Random(cfg.seed or None),
             snapshot_every=cfg.snapshot_every,
+            timing=Timing(
+                election_min_s=cfg.election_s, election_max_s=2 * cfg.election_s
+            ),
         )
 
     async def _serve_operators(self, cfg, *, task_status):
--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -6,7 +6,7 @@
 import trio
 
 from wisteriaworks.asgi import read_body, run_lifespan
-from wisteriaworks.errors import ERROR_ANSWERS, ErrorKind, RequestError
+from wisteriaworks.errors import ERROR_ANSWERS, ErrorKind, RequestError, RunState
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.gateway.query import Gathered, Reason, Single, Unserved
 from wisteriaworks.gateway.records import merge_greatest
@@ -106,6 +106,8 @@
                 return _SUCCESS, self._wire.encode_parts(parts, missing), body
             case Unserved(reason, may_have_run):
                 kind = _KINDS[reason]
+                if may_have_run and ERROR_ANSWERS[kind].run_state is RunState.NOT_RUN:
+                    kind = ErrorKind.TOO_FEW_PARTS
                 waited_ms = math.floor((trio.current_time() - arrived_at) * 1000)
                 self._log(
                     Event.REQUEST_UNSERVED,
--- a/src/wisteriaworks/gateway/extra_budget.py
+++ b/src/wisteriaworks/gateway/extra_budget.py
@@ -12,6 +12,9 @@
 # Part of the allowance that is used. The rest covers gateways that joined
 # since the count was last read, and sends that arrive in a later window.
 USED_SHARE = 0.8
+# Part of the allowance that hedges may use. The rest is kept for requests that
+# a server refused or broke off, which have no answer without a repeat.
+HEDGE_SHARE = 0.6
 # The window is kept in slices of this share; counts of a slice end together.
 SLICES = 20
 
@@ -51,7 +54,7 @@
         """Count the first send of a request to a service."""
         self._find(self._requests, service).add(now)
 
-    def may_repeat(self, service, now):
+    def may_repeat(self, service, now, is_hedge=False):
         """Say whether one more send of a request is within the budget."""
         requests = self._find(self._requests, service)
         extras = self._find(self._extras, service)
@@ -59,7 +62,8 @@
         # so that any window keeps the bound, wherever it begins.
         requests.expire(now, SLICES - 1)
         extras.expire(now, SLICES + 1)
-        return extras.total + 1 <= self._compute_allowance(requests.total)
+        allowance = self._compute_allowance(requests.total)
+        return extras.total + 1 <= (HEDGE_SHARE if is_hedge else 1.0) * allowance
 
     def count_repeat(self, service, now):
         """Count one repeated send."""
--- a/src/wisteriaworks/gateway/fetch.py
+++ b/src/wisteriaworks/gateway/fetch.py
@@ -86,11 +86,7 @@
         self.hedge_at = math.inf
         if not self.policy.idempotent:
             return None
-        return self._repeat(now)
-
-    def give_up(self):
-        """End without an answer."""
-        self.is_over = True
+        return self._repeat(now, is_hedge=True)
 
     def _note_answer(self, answer, now):
         self.may_have_run = True
@@ -119,7 +115,7 @@
             self.is_over = True
         return send
 
-    def _repeat(self, now, is_counted=True):
+    def _repeat(self, now, is_counted=True, is_hedge=False):
         """Return a send to another server within the bounds, or None.
 
         A send that never left is repeated without drawing on the budget.
@@ -128,7 +124,7 @@
         if len(self._reached) >= self.policy.attempts:
             return None
         budget = self._fleet.budget
-        if is_counted and not budget.may_repeat(service, now):
+        if is_counted and not budget.may_repeat(service, now, is_hedge):
             return None
         server = self._choose(now)
         if server is None:
--- a/src/wisteriaworks/gateway/fleet_state.py
+++ b/src/wisteriaworks/gateway/fleet_state.py
@@ -38,7 +38,7 @@
         elif update.list_read and (update.servers or update.removed):
             table.change(update.servers, update.removed, now)
             is_changed = True
-        self._fleet.set_gateways(update.gateways)
+        self._fleet.set_gateways(update.gateways, update.position)
         if is_changed:
             self._on_change(self.routes.document)
 
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -46,12 +46,13 @@
             ServerTable(),
             ServerStats(cfg.domain, rng),
             ExtraBudget(cfg.budget),
-            ColdLimit(cfg.budget, rng),
+            ColdLimit(cfg.budget),
         )
 
-    def set_gateways(self, count):
-        """Share the budgets between this many gateways."""
+    def set_gateways(self, count, position):
+        """Share the budgets between gateways, of which this is number ``position``."""
         self.budget.gateways = self.cold.gateways = max(1, count)
+        self.cold.position = position
 
 
 class Forwarder:
@@ -229,6 +230,8 @@
                 stats.succeed(server.id, number, now)
                 self._forwarder.observe(self._route, now - began_at, now)
             case Refused():
+                stats.refuse(server.id, number)
+            case Failed(failure=Failure.ABANDONED):
                 stats.forget(server.id, number)
             case _:
                 stats.fail(server.id, number, now)
--- a/src/wisteriaworks/gateway/model.py
+++ b/src/wisteriaworks/gateway/model.py
@@ -56,6 +56,7 @@
     MALFORMED = "malformed"
     FOREIGN = "foreign"
     TIMED_OUT = "timed_out"
+    ABANDONED = "abandoned"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisteriaworks/gateway/server_stats.py
+++ b/src/wisteriaworks/gateway/server_stats.py
@@ -68,6 +68,16 @@
             pause = min(AVOID_LONGEST_S, AVOID_FIRST_S * 2**over)
             stats.avoided_until = now + pause * self._rng.uniform(0.75, 1.25)
 
+    def refuse(self, server_id, attempt):
+        """Note that the server did not run a request.
+
+        It lowers the share of successes and so the choice of the server, but
+        never makes it avoided, since a full server frees a slot soon.
+        """
+        stats = self._find(server_id)
+        stats.waiting.pop(attempt, None)
+        stats.success -= AVERAGE_WEIGHT * stats.success
+
     def forget(self, server_id, attempt):
         """Drop an attempt that says nothing about the server."""
         self._find(server_id).waiting.pop(attempt, None)
--- a/src/wisteriaworks/orders.py
+++ b/src/wisteriaworks/orders.py
@@ -76,7 +76,8 @@
         self._node = node
         self._directory = directory
         self._changed = trio.Event()
-        self._watches = 0
+        # Names of the gateways; one that connects again may be in twice.
+        self._watches = []
 
     def list_handlers(self):
         """Return the handler of each message type for ``RpcServer``."""
@@ -151,20 +152,20 @@
     async def _watch(self, message, send):
         """Send updates until this member stops to lead."""
         version, revision = message.config_version, 0
-        self._watches += 1
+        self._watches.append(message.name)
         self.notify()
         try:
             while self._node.replica.is_leader and not self._node.is_stopping:
-                update, revision = self._make_update(version, revision)
+                update, revision = self._make_update(message.name, version, revision)
                 version = max(version, update.config_version)
                 send(update)
                 with trio.move_on_after(KEEPALIVE_S):
                     await self._changed.wait()
         finally:
-            self._watches -= 1
+            self._watches.remove(message.name)
         return self._name_leader()
 
-    def _make_update(self, version, revision):
+    def _make_update(self, name, version, revision):
         machine = self._node.machine
         changes = self._directory.list_changes(revision, trio.current_time())
         is_newer = machine.version > version
@@ -173,7 +174,8 @@
             config_version=machine.version,
             document=machine.document if is_newer else None,
             domains_out=tuple(sorted(machine.domains_out)),
-            gateways=self._watches,
+            gateways=len(self._watches),
+            position=sorted(self._watches).index(name),
             list_read=changes.revision > 0,
             full=changes.full,
             servers=changes.servers,
--- /dev/null
+++ b/tests/gateway/gateway_fakes.py
@@ -0,0 +1,78 @@
+"""Servers, routes and fleets for the tests of the gateway."""
+
+import random
+
+from wisteriaworks.gateway.forwarder import Fleet
+from wisteriaworks.gateway.model import ServerAnswer
+from wisteriaworks.generated.document import Document, Route, Service, ServiceShare
+from wisteriaworks.generated.messages import ListedServer
+from wisteriaworks.generated.settings import BudgetSettings, GatewaySettings
+
+AMPLE = BudgetSettings(retry_ratio=10.0, slack=1000.0)
+
+
+def make_listed(server_id, service="s", domain="a", **fields):
+    """Return a server as the platform lists it."""
+    fixed = {"address": "127.0.0.1:1", "slots": 2, "draining": False, "cold_s": 0.0}
+    return ListedServer(
+        id=server_id, service=service, domain=domain, **(fixed | fields)
+    )
+
+
+def make_settings(budget=AMPLE, **fields):
+    """Return the settings of one gateway."""
+    address = "127.0.0.1:0"
+    fixed = {
+        "name": "g1",
+        "domain": "a",
+        "listen": address,
+        "readiness": address,
+        "seeds": ("127.0.0.1:1",),
+        "member_port": 1,
+        "server_list": "127.0.0.1:1",
+        "seed": 1,
+    }
+    return GatewaySettings(budget=budget, **(fixed | fields))
+
+
+def make_fleet(listed, budget=AMPLE, seed=1):
+    """Return a fleet that knows some servers since time 0."""
+    fleet = Fleet.create(make_settings(budget), random.Random(seed))
+    fleet.table.replace(listed, 0.0)
+    return fleet
+
+
+def make_route(**fields):
+    """Return a route; to service ``s`` unless it names shards."""
+    fixed = {
+        "name": "r",
+        "host": "h.example",
+        "path_prefix": "/p/",
+        "timeout_ms": 1000,
+        "attempts": 2,
+    }
+    if "shards" in fields:
+        fixed["idempotent"] = True
+    else:
+        fixed["services"] = (ServiceShare(service="s", weight=1.0),)
+    return Route(**(fixed | fields))
+
+
+def make_document(*routes, services=("s",)):
+    """Return a document with routes and services."""
+    known = {name: Service(connections=20) for name in services}
+    return Document(routes=routes, services=known)
+
+
+def make_answer(status=200, body=b"", signature=b"sig", **fields):
+    """Return an answer of a server."""
+    fixed = {
+        "headers": (),
+        "request_id": b"id1",
+        "not_run": False,
+        "closes": False,
+        "idle_timeout_s": None,
+    }
+    return ServerAnswer(
+        status=status, body=body, signature=signature, **(fixed | fields)
+    )
--- /dev/null
+++ b/tests/gateway/test_budgets.py
@@ -0,0 +1,83 @@
+"""Guard against load beyond what the operators allow, summed over gateways."""
+
+import random
+
+import pytest
+
+from wisteriaworks.gateway.cold_limit import ColdLimit
+from wisteriaworks.gateway.extra_budget import ExtraBudget
+from wisteriaworks.generated.settings import BudgetSettings
+
+CFG = BudgetSettings(
+    retry_ratio=0.2, window_s=10.0, slack=58.0, cold_burst=1.5, cold_slack=5.0
+)
+
+
+def play(gateways, per_s, seed, until_s=40.0):
+    """Let every request be sent again if it may; return the times of both."""
+    rng = random.Random(seed)
+    budgets = [ExtraBudget(CFG) for _ in range(gateways)]
+    for budget in budgets:
+        budget.gateways = gateways
+    now, requests, extras = 0.0, [], []
+    while now < until_s:
+        now += rng.expovariate(per_s)
+        budget = rng.choice(budgets)
+        budget.count_request("s", now)
+        requests.append(now)
+        if budget.may_repeat("s", now):
+            budget.count_repeat("s", now)
+            extras.append(now)
+    return requests, extras
+
+
+@pytest.mark.parametrize("gateways", [1, 3, 10])
+@pytest.mark.parametrize("per_s", [1.0, 45.0, 300.0])
+@pytest.mark.parametrize("seed", range(3))
+def test_repeats_of_all_gateways_keep_the_bound_in_any_window(gateways, per_s, seed):
+    """Pattern: an outage, in which every request would be repeated."""
+    requests, extras = play(gateways, per_s, seed)
+    for start in extras:
+        end = start + CFG.window_s
+        arrived = sum(start <= at < end for at in requests)
+        repeated = sum(start <= at < end for at in extras)
+        assert repeated <= CFG.retry_ratio * arrived + CFG.slack
+
+
+def test_budget_returns_after_the_window():
+    budget = ExtraBudget(BudgetSettings(retry_ratio=0.0, slack=5.0, window_s=10.0))
+    for _ in range(4):
+        assert budget.may_repeat("s", 1.0)
+        budget.count_repeat("s", 1.0)
+    assert not budget.may_repeat("s", 1.0)
+    assert not budget.may_repeat("s", 10.5)
+    assert budget.may_repeat("s", 12.0)
+
+
+def test_hedges_leave_budget_for_failed_requests():
+    """Pattern: slow servers use the budget up, and then one refuses work."""
+    budget = ExtraBudget(BudgetSettings(retry_ratio=0.0, slack=10.0, window_s=10.0))
+    while budget.may_repeat("s", 1.0, is_hedge=True):
+        budget.count_repeat("s", 1.0)
+    assert budget.may_repeat("s", 1.0)
+
+
+@pytest.mark.parametrize("gateways", [1, 4, 10, 40])
+@pytest.mark.parametrize("cold_per_s", [0.5, 4.0, 30.0])
+def test_cold_server_gets_no_more_than_its_bound(gateways, cold_per_s):
+    """Pattern: a domain returns cold while every gateway has work for it."""
+    rng = random.Random(gateways)
+    limits = [ColdLimit(CFG) for _ in range(gateways)]
+    for position, limit in enumerate(limits):
+        limit.gateways, limit.position = gateways, position
+    sent, now = [], 0.0
+    while now < 5.0:
+        now += rng.expovariate(200.0)
+        limit = rng.choice(limits)
+        if limit.may_send("i1", cold_per_s, now):
+            limit.count("i1", now)
+            sent.append(now)
+    bound = cold_per_s * CFG.cold_burst + CFG.cold_slack
+    for start in sent:
+        assert sum(start <= at < start + 1.0 for at in sent) <= bound
+    assert sent
--- /dev/null
+++ b/tests/gateway/test_fetch.py
@@ -0,0 +1,150 @@
+"""Guard against requests that run twice, and load beyond the budgets."""
+
+import pytest
+from gateway_fakes import AMPLE, make_answer, make_fleet, make_listed
+
+from wisteriaworks.gateway.fetch import Fetch, FetchPolicy
+from wisteriaworks.gateway.model import Answered, Failed, Failure, Refused
+from wisteriaworks.generated.settings import BudgetSettings
+
+TWO = [make_listed("i1"), make_listed("i2")]
+NONE = BudgetSettings(retry_ratio=0.0, slack=0.0)
+OK = Answered(make_answer())
+ERROR = Answered(make_answer(status=500))
+REFUSED = Refused(make_answer(status=503, not_run=True))
+BROKEN = Failed(Failure.BROKEN, may_have_run=True)
+UNSENT = Failed(Failure.NO_CONNECTION, may_have_run=False)
+
+
+def make_fetch(listed=TWO, budget=AMPLE, idempotent=True, attempts=2, cold_per_s=0.0):
+    policy = FetchPolicy("s", idempotent, attempts, cold_per_s, hedge_after_s=0.05)
+    return Fetch(policy, make_fleet(listed, budget))
+
+
+def begin(fetch, now=1.0):
+    return fetch.begin(now).server.id
+
+
+def test_failed_request_is_repeated_at_the_other_server():
+    fetch = make_fetch()
+    first = begin(fetch)
+    second = fetch.note_outcome(first, BROKEN, 1.1).server.id
+    assert {first, second} == {"i1", "i2"}
+    assert fetch.note_outcome(second, OK, 1.2) is None
+    assert fetch.is_over
+    assert fetch.answer.status == 200
+
+
+@pytest.mark.parametrize("outcome", [BROKEN, ERROR])
+def test_non_idempotent_request_is_never_repeated_once_it_may_have_run(outcome):
+    fetch = make_fetch(idempotent=False)
+    assert fetch.note_outcome(begin(fetch), outcome, 1.1) is None
+    assert fetch.is_over
+    assert fetch.may_have_run
+
+
+@pytest.mark.parametrize("outcome", [REFUSED, UNSENT])
+def test_non_idempotent_request_that_did_not_run_goes_to_the_other(outcome):
+    fetch = make_fetch(idempotent=False)
+    assert fetch.note_outcome(begin(fetch), outcome, 1.1) is not None
+    assert not fetch.may_have_run
+
+
+def test_non_idempotent_request_is_never_hedged():
+    fetch = make_fetch(idempotent=False)
+    begin(fetch)
+    assert fetch.note_time(2.0) is None
+
+
+def test_late_answer_is_hedged_once_at_the_other_server():
+    """Pattern: one server stands still for 150 ms, the other answers at once."""
+    fetch = make_fetch()
+    first = begin(fetch)
+    assert fetch.note_time(1.04) is None
+    hedge = fetch.note_time(1.06)
+    assert hedge.server.id != first
+    assert fetch.note_time(1.2) is None
+    fetch.note_outcome(hedge.server.id, OK, 1.1)
+    assert fetch.is_over
+
+
+def test_failure_waits_for_the_hedge_that_runs():
+    fetch = make_fetch()
+    first = begin(fetch)
+    hedge = fetch.note_time(1.06)
+    assert fetch.note_outcome(first, BROKEN, 1.07) is None
+    assert not fetch.is_over
+    fetch.note_outcome(hedge.server.id, OK, 1.1)
+    assert fetch.answer.status == 200
+
+
+@pytest.mark.parametrize("attempts", [1, 2, 3])
+def test_attempts_bound_the_servers(attempts):
+    fetch = make_fetch([make_listed(f"i{n}") for n in range(5)], attempts=attempts)
+    server, sends = begin(fetch), 1
+    while (send := fetch.note_outcome(server, BROKEN, 1.1)) is not None:
+        server, sends = send.server.id, sends + 1
+    assert sends == attempts
+    assert fetch.is_over
+
+
+def test_send_that_never_left_does_not_count_as_an_attempt():
+    fetch = make_fetch([make_listed(f"i{n}") for n in range(3)], attempts=1)
+    second = fetch.note_outcome(begin(fetch), UNSENT, 1.1)
+    assert not second.is_repeat
+    assert fetch.note_outcome(second.server.id, UNSENT, 1.1) is not None
+
+
+@pytest.mark.parametrize("outcome", [BROKEN, REFUSED, ERROR])
+def test_spent_budget_ends_the_request(outcome):
+    fetch = make_fetch(budget=NONE)
+    assert fetch.note_outcome(begin(fetch), outcome, 1.1) is None
+    assert fetch.is_over
+
+
+def test_spent_budget_does_not_hedge():
+    fetch = make_fetch(budget=NONE)
+    begin(fetch)
+    assert fetch.note_time(2.0) is None
+    assert not fetch.is_over
+
+
+def test_error_of_the_server_is_kept_if_no_other_answers():
+    fetch = make_fetch([make_listed("i1")])
+    fetch.note_outcome(begin(fetch), ERROR, 1.1)
+    assert fetch.is_over
+    assert fetch.answer.status == 500
+
+
+def test_own_status_of_the_server_is_final():
+    fetch = make_fetch()
+    assert fetch.note_outcome(begin(fetch), Answered(make_answer(404)), 1.1) is None
+    assert fetch.answer.status == 404
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        make_listed("i2", draining=True),
+        make_listed("i2", domain="out"),
+        make_listed("i2", service="t"),
+    ],
+)
+def test_servers_that_may_not_get_work_are_never_asked(other):
+    fetch = make_fetch([make_listed("i1"), other])
+    fetch._fleet.table.set_domains_out(["out"])
+    assert begin(fetch) == "i1"
+    assert fetch.note_outcome("i1", BROKEN, 1.1) is None
+
+
+def test_service_without_a_server_is_over_at_once():
+    fetch = make_fetch([])
+    assert fetch.begin(1.0) is None
+    assert fetch.is_over
+    assert not fetch.may_have_run
+
+
+def test_warm_server_is_preferred_to_a_cold_one():
+    listed = [make_listed("i1", cold_s=60.0), make_listed("i2")]
+    chosen = {begin(make_fetch(listed, cold_per_s=4.0)) for _ in range(20)}
+    assert chosen == {"i2"}
--- /dev/null
+++ b/tests/gateway/test_query.py
@@ -0,0 +1,126 @@
+"""Guard against untrue coverage, late refusals and untrue "not run"."""
+
+import pytest
+from gateway_fakes import make_answer, make_fleet, make_listed, make_route
+
+from wisteriaworks.gateway.fetch import Fetch, FetchPolicy
+from wisteriaworks.gateway.model import Answered, Failed, Failure, Refused
+from wisteriaworks.gateway.query import Gathered, Query, Reason, Single, Unserved
+
+SHARDS = tuple(f"s{n}" for n in range(10))
+OK = Answered(make_answer())
+ERROR = Answered(make_answer(status=500))
+REFUSED = Refused(make_answer(status=503, not_run=True))
+BROKEN = Failed(Failure.BROKEN, may_have_run=True)
+ARRIVED, DEADLINE = 1.0, 2.0
+
+
+def make_query(minimum=0.75, listed=None, shards=SHARDS, **fields):
+    """Return a query; each service has one server, named after it."""
+    if shards:
+        fields |= {"shards": shards, "minimum_coverage": minimum}
+    route = make_route(objective_ms=200, **fields)
+    services = shards or ("s",)
+    names = services if listed is None else listed
+    fleet = make_fleet([make_listed(f"i-{name}", service=name) for name in names])
+    fetches = {
+        name: Fetch(FetchPolicy(name, route.idempotent, 2, 0.0, 0.05), fleet)
+        for name in services
+    }
+    return Query(route, fetches, ARRIVED, DEADLINE)
+
+
+def note(query, services, outcome, now=1.1):
+    for service in services:
+        query.fetches[service].note_outcome(f"i-{service}", outcome, now)
+
+
+def test_all_parts_are_a_complete_answer():
+    query = make_query()
+    query.begin(ARRIVED)
+    note(query, SHARDS[:9], OK)
+    assert query.settle(1.1) is None
+    note(query, SHARDS[9:], OK)
+    result = query.settle(1.1)
+    assert isinstance(result, Gathered)
+    assert (len(result.parts), result.missing) == (10, 0)
+
+
+def test_enough_parts_are_an_answer_at_the_objective():
+    """Pattern: one shard stands still; the others wait for it no longer."""
+    query = make_query()
+    query.begin(ARRIVED)
+    note(query, SHARDS[:8], OK)
+    assert query.settle(1.17) is None
+    result = query.settle(1.2)
+    assert (len(result.parts), result.missing) == (8, 2)
+
+
+def test_too_few_parts_wait_past_the_objective():
+    query = make_query()
+    query.begin(ARRIVED)
+    note(query, SHARDS[:7], OK)
+    assert query.settle(1.3) is None
+    note(query, SHARDS[7:8], OK, 1.4)
+    assert query.settle(1.4).missing == 2
+
+
+def test_failure_with_a_signature_is_not_a_part():
+    query = make_query()
+    query.begin(ARRIVED)
+    note(query, SHARDS[:9], OK)
+    note(query, SHARDS[9:], ERROR)
+    assert query.settle(1.1).missing == 1
+
+
+def test_shards_without_a_server_are_left_out_and_counted():
+    query = make_query(listed=SHARDS[:8])
+    assert len(query.begin(ARRIVED)) == 8
+    note(query, SHARDS[:8], OK)
+    assert query.settle(1.1).missing == 2
+
+
+def test_request_that_cannot_be_served_is_not_sent():
+    query = make_query(listed=SHARDS[:7])
+    assert query.begin(ARRIVED) == []
+
+
+def test_request_ends_at_once_when_enough_parts_cannot_come():
+    query = make_query()
+    query.begin(ARRIVED)
+    note(query, SHARDS[:3], BROKEN)
+    result = query.settle(1.1)
+    assert isinstance(result, Unserved)
+    assert result.may_have_run
+
+
+def test_refusals_beside_running_sends_are_not_called_not_run():
+    """The first version answered 503, which promises that nothing ran."""
+    query = make_query()
+    query.begin(ARRIVED)
+    note(query, SHARDS[:3], REFUSED)
+    assert query.settle(1.1).may_have_run
+
+
+def test_request_that_all_servers_refused_did_not_run():
+    query = make_query(shards=())
+    query.begin(ARRIVED)
+    note(query, ["s"], REFUSED)
+    assert query.settle(1.1) == Unserved(Reason.REFUSED, may_have_run=False)
+
+
+def test_single_answer_is_passed_on():
+    query = make_query(shards=())
+    query.begin(ARRIVED)
+    note(query, ["s"], OK)
+    assert query.settle(1.1) == Single(make_answer())
+
+
+@pytest.mark.parametrize("shards", [(), SHARDS])
+def test_deadline_ends_the_wait(shards):
+    query = make_query(shards=shards)
+    query.begin(ARRIVED)
+    assert query.settle(1.9) is None
+    assert query.find_next_time() <= DEADLINE
+    result = query.settle(DEADLINE)
+    assert result == Unserved(Reason.DEADLINE, may_have_run=True)
