--- /dev/null
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -0,0 +1,223 @@
+"""A stand-in of the platform on loopback: servers, their list, and a system.
+
+Control members share one port on 127.0.0.1, 127.0.0.2 and so on, as members
+do on the platform's VMs.
+"""
+
+import functools
+import itertools
+import json
+import struct
+
+import httpcore
+import trio
+
+from wisteriaworks.admin import serve_http
+from wisteriaworks.asgi import run_lifespan, send_response
+from wisteriaworks.control import ControlProgram, found_group
+from wisteriaworks.gateway.program import GatewayProgram
+from wisteriaworks.generated.settings import (
+    BudgetSettings,
+    ControlSettings,
+    GatewaySettings,
+    OperatorSettings,
+)
+from wisteriaworks.metrics import create_unexported_metrics
+from wisteriaworks.processes import find_free_ports
+
+HOST = "h.example"
+WAIT_S = 30.0
+
+
+class StandInServer:
+    """Answer requests with records that name the server and the request."""
+
+    def __init__(self, server_id, service, domain):
+        self.id = server_id
+        self.service = service
+        self.domain = domain
+        self.address = ""
+        self.state = "ready"
+        self.delay_s = 0.0
+        self.ran = []
+
+    def describe(self):
+        """Return the server's entry of the list."""
+        return {
+            "id": self.id,
+            "service": self.service,
+            "address": self.address,
+            "zone": self.domain,
+            "version": "v1",
+            "maxConcurrency": 2,
+            "state": self.state,
+            "coldRemainingMs": 0,
+        }
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        buffer = b""
+        async for data in stream:
+            buffer += data
+            while b"\r\n\r\n" in buffer:
+                head, _, buffer = buffer.partition(b"\r\n\r\n")
+                await self._answer(stream, head)
+
+    async def _answer(self, stream, head):
+        lines = head.decode().split("\r\n")
+        headers = dict(line.split(": ", 1) for line in lines[1:])
+        request_id = headers["x-wisteriaworks-request-id"]
+        head = f"X-Wisteriaworks-Request-Id: {request_id}\r\n"
+        if headers["x-wisteriaworks-expected-instance"] != self.id:
+            status = "421 X"
+        else:
+            status = "200 OK"
+            self.ran.append(request_id)
+            await trio.sleep(self.delay_s)
+            head += f"X-Wisteriaworks-Server-Stamp: {self.id}.{request_id}\r\n"
+        body = struct.pack(">QQ", len(self.ran), int(self.id[1:])) * 2
+        head = f"HTTP/1.1 {status}\r\n{head}Content-Length: {len(body)}\r\n\r\n"
+        await stream.send_all(head.encode() + body)
+
+
+class _List:
+    """Serve the list of servers, two entries a page."""
+
+    def __init__(self, servers):
+        self._servers = servers
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            return await run_lifespan(receive, send)
+        query = scope["query_string"].decode()
+        start = int(query.partition("=")[2] or 0)
+        page = [server.describe() for server in self._servers[start : start + 2]]
+        more = str(start + 2) if start + 2 < len(self._servers) else None
+        body = json.dumps({"instances": page, "nextPageToken": more})
+        await send_response(send, 200, body.encode())
+
+
+class StandInSystem:
+    """Run control members and gateways in this process."""
+
+    def __init__(self, nursery, folder, servers, members=3, gateways=2):
+        self._nursery = nursery
+        self._folder = folder
+        self.servers = servers
+        self._ports = find_free_ports(4 + 2 * gateways)
+        self._list = f"127.0.0.1:{self._ports[3]}"
+        self._gateway_ports = self._ports[4:]
+        self.hosts = [f"127.0.0.{n + 1}" for n in range(members)]
+        self.seeds = tuple(f"{host}:{self._ports[1]}" for host in self.hosts[:3])
+        self.scopes = {}
+        self.control = {}
+        self.gateways = []
+        self._numbers = itertools.count()
+
+    async def start(self):
+        """Start everything, with empty disks and no operator."""
+        for server in self.servers:
+            serve = functools.partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1")
+            (listener,) = await self._nursery.start(serve)
+            server.address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        await self._nursery.start(serve_http, _List(self.servers), self._list)
+        for host in self.hosts:
+            await self.start_control(host, found=True)
+        for number in range(len(self._gateway_ports) // 2):
+            await self._start_gateway(number)
+
+    async def start_control(self, host, found=False):
+        """Start one control member, which runs until ``stop_control``."""
+        cfg = ControlSettings(
+            name=f"c-{host}",
+            domain="a",
+            address=f"{host}:{self._ports[0]}",
+            admin=f"{host}:{self._ports[2]}",
+            data_folder=str(self._folder / host),
+            election_s=0.5,
+            operators=OperatorSettings(
+                listen=f"{host}:{self._ports[1]}",
+                seeds=self.seeds,
+                found=found,
+                server_list=self._list,
+                list_interval_s=0.2,
+            ),
+        )
+        found_group(cfg)
+        program = ControlProgram(cfg, create_unexported_metrics())
+        await self._nursery.start(self._run, host, program)
+        self.control[host] = program
+
+    def stop_control(self, host):
+        """End a control member at once, as a kill does."""
+        self.scopes.pop(host).cancel()
+        del self.control[host]
+
+    async def _run(self, host, program, task_status):
+        scope = self.scopes[host] = trio.CancelScope()
+        with scope:
+            await program.run(task_status=task_status)
+
+    async def _start_gateway(self, number):
+        front, readiness = self._gateway_ports[2 * number : 2 * number + 2]
+        cfg = GatewaySettings(
+            name=f"g{number}",
+            domain="a",
+            listen=f"127.0.0.1:{front}",
+            readiness=f"127.0.0.1:{readiness}",
+            seeds=self.seeds,
+            member_port=self._ports[0],
+            server_list=self._list,
+            balancer_lag_s=0.2,
+            budget=BudgetSettings(retry_ratio=1.0, slack=100.0),
+        )
+        program = GatewayProgram(cfg)
+        await self._nursery.start(program.run)
+        self.gateways.append(program)
+
+    async def call(self, method, path, body=b"", gateway=0, deadline_ms=5000):
+        """Send a request to a gateway; return status, headers and body."""
+        headers = {
+            "host": HOST,
+            "x-wisteriaworks-request-id": f"r{next(self._numbers)}",
+            "x-wisteriaworks-deadline-ms": str(deadline_ms),
+        }
+        address = f"127.0.0.1:{self._gateway_ports[2 * gateway]}"
+        return await _call(method, f"http://{address}{path}", headers, body)
+
+    async def is_ready(self, gateway=0):
+        """Ask as the platform's balancer does."""
+        address = f"127.0.0.1:{self._gateway_ports[2 * gateway + 1]}"
+        return (await _call("GET", f"http://{address}/api/ready")).status == 200
+
+    async def order(self, method, path, body=b"", host=None):
+        """Give an operator's order until it is acknowledged; return the answer."""
+        hosts = itertools.cycle([host] if host else list(self.control))
+        with trio.fail_after(WAIT_S):
+            while True:
+                url = f"http://{next(hosts)}:{self._ports[1]}{path}"
+                reply = await _call(method, url, body=body)
+                if reply.status < 500:
+                    return reply
+                await trio.sleep(0.1)
+
+    async def wait_until(self, is_met):
+        """Wait until an asynchronous condition holds."""
+        with trio.fail_after(WAIT_S):
+            while not await is_met():
+                await trio.sleep(0.05)
+
+    def find_leader(self):
+        """Return the host of the member that leads, or None."""
+        return next(
+            (h for h, p in self.control.items() if p.node.replica.is_leader), None
+        )
+
+
+async def _call(method, url, headers=None, body=b""):
+    headers = {"host": "operators"} | (headers or {})
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), 10.0)
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request(
+            method, url, headers=headers, content=body, extensions={"timeout": timeouts}
+        )
