Control when the fault comes in the test of at-most-once work

Change: in round 0 the fault waits for all answers, in round 1 the servers stand still and it waits until a call has arrived; the other rounds and all assertions stay.

--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -16,6 +16,8 @@
 from wisteriaworks.generated.subqueries import SubqueryOutcome
 from wisteriaworks.ramp import Ramp
 
+# Makes a sub-query of 2 ms run for longer than the batch waits.
+STANDSTILL = 1e5
 ROUNDS = 16 * int(os.environ.get("WISTERIA_SOAK", "1"))
 
 
@@ -361,12 +363,29 @@
             await bench.holder.run_batch(batch, received.append)
             replies[f"{batch.request_id}/a"] = received
 
+        async def wait_for_fault_time(n):
+            """Return at a time that the test controls in the first two rounds.
+
+            In round 0 all calls are answered before the fault, in round 1
+            some run when it comes; the others take it as it comes.
+            """
+            match n:
+                case 0:
+                    await wait_until(lambda: len(replies) == 8)
+                case 1:
+                    received = bench.counters().received
+                    await wait_until(lambda: bench.counters().received > received)
+                case _:
+                    await trio.sleep(0.001 * (n % 8))
+
         for n in range(ROUNDS):
+            bench.fault(FaultCommand.SLOW, factor=STANDSTILL if n == 1 else 1.0)
             async with trio.open_nursery() as calls:
                 for _ in range(8):
                     calls.start_soon(ask)
-                await trio.sleep(0.001 * (n % 8))
+                await wait_for_fault_time(n)
                 bench.fault(command)
+            bench.fault(FaultCommand.SLOW, factor=1.0)
             bench.fault(FaultCommand.RESTART)
             while list_outcomes(await bench.run()) != {SubqueryOutcome.ANSWERED}:
                 await trio.sleep(0.01)
