Record how many gateways share the budgets

Change: the number is in the replicated state, grows at once and shrinks after 60 s; a gateway's part of the slack grows over its first window.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -25,6 +25,7 @@
     WisteriaError,
 )
 from wisteriaworks.events import Event, log_event, log_failure
+from wisteriaworks.fleet_size import keep_fleet_size
 from wisteriaworks.gateway.control_watch import list_member_addresses
 from wisteriaworks.generated.settings import ControlSettings
 from wisteriaworks.list_reader import ListReader, follow_list
@@ -114,6 +115,7 @@
             nursery.start_soon(self._settings.run)
             nursery.start_soon(join_group, self._node, client)
             nursery.start_soon(MemberKeeper(self._node).run)
+            nursery.start_soon(keep_fleet_size, self._node, self._orders)
             nursery.start_soon(self._follow_list, reader, cfg.list_interval_s)
             app = OperatorApi(OrderClient(client))
             await nursery.start(serve_http, app, cfg.listen)
--- a/src/wisteriaworks/gateway/extra_budget.py
+++ b/src/wisteriaworks/gateway/extra_budget.py
@@ -4,7 +4,8 @@
 would be sent again. The bound of the whole system is ``ratio`` x requests +
 ``slack`` in any window. Each gateway takes the ratio of its own requests and
 an equal part of the slack, so the sum over all gateways keeps the bound
-without an exchange between them.
+without an exchange between them. A gateway that has just started does not
+know what it sent before, so its part of the slack grows over the first window.
 """
 
 from collections import deque
@@ -44,8 +45,9 @@
 class ExtraBudget:
     """Count requests and repeated sends by service."""
 
-    def __init__(self, cfg):
+    def __init__(self, cfg, now):
         self._cfg = cfg
+        self._started_at = now
         self._requests = {}
         self._extras = {}
         self.gateways = 1
@@ -62,7 +64,7 @@
         # so that any window keeps the bound, wherever it begins.
         requests.expire(now, SLICES - 1)
         extras.expire(now, SLICES + 1)
-        allowance = self._compute_allowance(requests.total)
+        allowance = self._compute_allowance(requests.total, now)
         return extras.total + 1 <= (HEDGE_SHARE if is_hedge else 1.0) * allowance
 
     def count_repeat(self, service, now):
@@ -75,9 +77,10 @@
             for service in [name for name in table if name not in services]:
                 del table[service]
 
-    def _compute_allowance(self, requests):
+    def _compute_allowance(self, requests, now):
         cfg = self._cfg
         slack = cfg.slack / max(1, self.gateways)
+        slack *= min(1.0, (now - self._started_at) / cfg.window_s)
         return USED_SHARE * (cfg.retry_ratio * requests + slack)
 
     def _find(self, table, service):
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -40,12 +40,12 @@
     cold: ColdLimit
 
     @classmethod
-    def create(cls, cfg, rng):
+    def create(cls, cfg, rng, now):
         """Return the fleet of a gateway that knows no server yet."""
         return cls(
             ServerTable(),
             ServerStats(cfg.domain, rng),
-            ExtraBudget(cfg.budget),
+            ExtraBudget(cfg.budget, now),
             ColdLimit(cfg.budget),
         )
 
@@ -60,7 +60,7 @@
 
     def __init__(self, cfg, wire, nursery, metrics):
         self._rng = random.Random(cfg.seed or None)
-        self.fleet = Fleet.create(cfg, self._rng)
+        self.fleet = Fleet.create(cfg, self._rng, trio.current_time())
         self._wire = wire
         self._nursery = nursery
         self._metrics = metrics
--- a/src/wisteriaworks/orders.py
+++ b/src/wisteriaworks/orders.py
@@ -89,6 +89,11 @@
             ReadMembers: self._read_members,
         }
 
+    @property
+    def watching(self):
+        """Return how many gateways follow this member."""
+        return len(set(self._watches))
+
     def notify(self):
         """Wake the watches after a change."""
         self._changed.set()
@@ -174,8 +179,8 @@
             config_version=machine.version,
             document=machine.document if is_newer else None,
             domains_out=tuple(sorted(machine.domains_out)),
-            gateways=len(self._watches),
-            position=sorted(self._watches).index(name),
+            gateways=max(machine.gateways, self.watching),
+            position=sorted(set(self._watches)).index(name),
             list_read=changes.revision > 0,
             full=changes.full,
             servers=changes.servers,
--- a/src/wisteriaworks/state_machine.py
+++ b/src/wisteriaworks/state_machine.py
@@ -10,6 +10,7 @@
     ClaimRequest,
     CloseSession,
     Holding,
+    NoteGateways,
     OpenSession,
     OperationRecord,
     PutConfiguration,
@@ -106,6 +107,7 @@
                 claim_floor_ms=self._claims.floor_ms,
                 source=self.source,
                 domains_out=tuple(sorted(self.domains_out)),
+                gateways=self.gateways,
             )
         )
 
@@ -141,6 +143,7 @@
         self.document = snapshot.document
         self.source = snapshot.source
         self.domains_out = frozenset(snapshot.domains_out)
+        self.gateways = snapshot.gateways
         self.servers = list_servers(snapshot.document)
         self.sessions = {record.number: record for record in snapshot.sessions}
         self.holdings = {holding.server: holding for holding in snapshot.holdings}
@@ -162,6 +165,8 @@
         match command:
             case PutConfiguration() | RaiseConfiguration() | SetDomain():
                 return self._apply_order(command)
+            case NoteGateways(count=count):
+                self.gateways = count
             case OpenSession():
                 return self._open_session(command)
             case CloseSession(session=number):
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -37,7 +37,7 @@
 
 def make_fleet(listed, budget=AMPLE, seed=1):
     """Return a fleet that knows some servers since time 0."""
-    fleet = Fleet.create(make_settings(budget), random.Random(seed))
+    fleet = Fleet.create(make_settings(budget), random.Random(seed), -60.0)
     fleet.table.replace(listed, 0.0)
     return fleet
 
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -16,7 +16,7 @@
 def play(gateways, per_s, seed, until_s=40.0):
     """Let every request be sent again if it may; return the times of both."""
     rng = random.Random(seed)
-    budgets = [ExtraBudget(CFG) for _ in range(gateways)]
+    budgets = [ExtraBudget(CFG, 0.0) for _ in range(gateways)]
     for budget in budgets:
         budget.gateways = gateways
     now, requests, extras = 0.0, [], []
@@ -45,7 +45,9 @@
 
 
 def test_budget_returns_after_the_window():
-    budget = ExtraBudget(BudgetSettings(retry_ratio=0.0, slack=5.0, window_s=10.0))
+    budget = ExtraBudget(
+        BudgetSettings(retry_ratio=0.0, slack=5.0, window_s=10.0), -60.0
+    )
     for _ in range(4):
         assert budget.may_repeat("s", 1.0)
         budget.count_repeat("s", 1.0)
@@ -56,7 +58,9 @@
 
 def test_hedges_leave_budget_for_failed_requests():
     """Pattern: slow servers use the budget up, and then one refuses work."""
-    budget = ExtraBudget(BudgetSettings(retry_ratio=0.0, slack=10.0, window_s=10.0))
+    budget = ExtraBudget(
+        BudgetSettings(retry_ratio=0.0, slack=10.0, window_s=10.0), -60.0
+    )
     while budget.may_repeat("s", 1.0, is_hedge=True):
         budget.count_repeat("s", 1.0)
     assert budget.may_repeat("s", 1.0)
@@ -81,3 +85,18 @@
     for start in sent:
         assert sum(start <= at < start + 1.0 for at in sent) <= bound
     assert sent
+
+
+def test_gateway_that_restarts_does_not_spend_its_slack_twice():
+    """Pattern: all gateways are killed in an outage and start again at once."""
+    cfg = BudgetSettings(retry_ratio=0.0, slack=58.0, window_s=10.0)
+    sent = []
+    for started_at, until in ((0.0, 15.0), (15.5, 40.0)):
+        budget = ExtraBudget(cfg, started_at)
+        now = started_at
+        while (now := now + 0.01) < until:
+            if budget.may_repeat("s", now):
+                budget.count_repeat("s", now)
+                sent.append(now)
+    for start in sent:
+        assert sum(start <= at < start + cfg.window_s for at in sent) <= cfg.slack
