Elect at once when all voters have just started; avoid a silent server at once

And each request to a server that went dark cost a hedge until two had failed.

Change: when every voter says in a pre-vote that it has heard no leader since its start, no leader exists, and they vote at once; otherwise nothing changes. A send without any answer makes its server avoided for 1 s and more.

--- a/src/wisteriaworks/consensus.py
+++ b/src/wisteriaworks/consensus.py
@@ -35,6 +35,10 @@
     heartbeat_s: float = 0.15
     election_min_s: float = 1.0
     election_max_s: float = 2.0
+    # The first pre-vote after a start finds out whether all voters have just
+    # started; it waits for their connections.
+    first_prevote_min_s: float = 0.05
+    first_prevote_max_s: float = 0.2
     # A refused pre-vote costs nothing, so it is repeated sooner.
     prevote_retry_min_s: float = 0.25
     prevote_retry_max_s: float = 0.5
@@ -53,12 +57,15 @@
         self._reported = None
         # A restart forgets when a leader was heard last, so it counts as now.
         self._heard_at = now
+        self._is_idle = True
+        self._idle_voters = set()
         self._granted = None
         self._is_prevote = False
         self._asked_at = now
         self._term_leader = None
         self._following = None
-        self._reset_deadline(now)
+        low, high = self._timing.first_prevote_min_s, self._timing.first_prevote_max_s
+        self._deadline = now + rng.uniform(low, high)
         if self._state.membership.voters == [member_id]:
             self._deadline = now
 
@@ -225,6 +232,7 @@
             self._following = Following(self._state, leader_id)
         self._term_leader = self._leader_id = leader_id
         self._granted = None
+        self._is_idle = False
         self._heard_at = now
         self._reset_deadline(now)
 
@@ -279,24 +287,27 @@
         self._leader_id = None
         self._is_prevote = True
         self._granted = {self.id}
+        self._idle_voters = {self.id} if self._is_idle else set()
         self._ask_voters(PreVote, self.term + 1)
         self._count_votes(now)
 
-    def _start_election(self, now):
+    def _start_election(self, now, all_idle=False):
         self._reset_deadline(now)
         self._enter_term(self.term + 1, voted_for=self.id)
         self._is_prevote = False
         self._granted = set()
         self._asked_at = now
-        self._ask_voters(RequestVote, self.term)
+        fields = {"all_idle": True} if all_idle else {}
+        self._ask_voters(RequestVote, self.term, **fields)
 
-    def _ask_voters(self, kind, term):
+    def _ask_voters(self, kind, term, **fields):
         log = self._state.log
         message = kind(
             term=term,
             sender=self.id,
             last_index=log.last_index,
             last_term=log.last_term,
+            **fields,
         )
         for voter in self._state.membership.voters:
             if voter != self.id:
@@ -320,6 +331,7 @@
     def _lead(self, now):
         contacts = dict.fromkeys(self._granted, self._asked_at)
         self._granted = None
+        self._is_idle = False
         self._term_leader = self._leader_id = self.id
         self._leadership = Leadership(
             self._state, self._timing, contacts, self._tokens, now
@@ -332,7 +344,9 @@
             and self._is_up_to_date(message)
         )
         term = message.term if granted else self.term
-        reply = PreVoteReply(term=term, sender=self.id, granted=granted)
+        reply = PreVoteReply(
+            term=term, sender=self.id, granted=granted, idle=self._is_idle
+        )
         self._state.send(message.sender, reply)
 
     def _handle_prevote_reply(self, message, now):
@@ -342,6 +356,20 @@
         if message.granted and is_current and message.term == self.term + 1:
             self._granted.add(message.sender)
             self._count_votes(now)
+        elif message.idle and is_current:
+            self._note_idle(message.sender, now)
+
+    def _note_idle(self, sender, now):
+        """Elect at once if no voter has heard a leader since its start.
+
+        After a loss of power there is no leader that could count on the voters
+        that restarted, since it would be one of them.
+        """
+        self._idle_voters.add(sender)
+        if self._is_idle and self._idle_voters.issuperset(
+            self._state.membership.voters
+        ):
+            self._start_election(now, all_idle=True)
 
     def _handle_request_vote(self, message, now):
         # Ignored without taking over the term, so that a member that was cut
@@ -349,7 +377,8 @@
         is_repeated = message.term == self.term and (
             self._state.voted_for == message.sender
         )
-        if self._is_leader_recent(now) and not is_repeated:
+        is_free = self._is_idle and message.all_idle
+        if self._is_leader_recent(now) and not is_repeated and not is_free:
             return
         if message.term > self.term:
             self._enter_term(message.term)
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -233,6 +233,8 @@
                 stats.refuse(server.id, number)
             case Failed(failure=Failure.ABANDONED):
                 stats.forget(server.id, number)
+            case Failed(failure=Failure.TIMED_OUT | Failure.NO_CONNECTION):
+                stats.fail(server.id, number, now, is_silent=True)
             case _:
                 stats.fail(server.id, number, now)
         send = fetch.note_outcome(server.id, outcome, now)
--- a/src/wisteriaworks/gateway/server_stats.py
+++ b/src/wisteriaworks/gateway/server_stats.py
@@ -14,14 +14,15 @@
 START_S = 0.02
 # A success rate below this is not distinguished any further.
 LEAST_SUCCESS = 0.05
-# After this many failures in a row a server is avoided.
+# After this many failures in a row a server is avoided. One that does not
+# answer at all is avoided at once: each try costs a hedge.
 FAILURES_TO_AVOID = 2
-AVOID_FIRST_S = 0.5
+AVOID_FIRST_S = 1.0
 AVOID_LONGEST_S = 4.0
 # A request that waits this many times the server's usual time means that the
 # server stands still at the moment.
 STALLED_FACTOR = 3.0
-STALLED_PENALTY = 4.0
+STALLED_PENALTY = 10.0
 # A server of another domain costs a longer way and bytes between domains; the
 # own one is taken until it is about half as fast again as the other.
 OTHER_DOMAIN_PENALTY = 1.5
@@ -58,12 +59,12 @@
         stats.success += AVERAGE_WEIGHT * (1.0 - stats.success)
         stats.failures_in_row = 0
 
-    def fail(self, server_id, attempt, now):
-        """Note a failure."""
+    def fail(self, server_id, attempt, now, is_silent=False):
+        """Note a failure; ``is_silent`` if there was no answer at all."""
         stats = self._find(server_id)
         stats.waiting.pop(attempt, None)
         stats.success -= AVERAGE_WEIGHT * stats.success
-        stats.failures_in_row += 1
+        stats.failures_in_row += FAILURES_TO_AVOID if is_silent else 1
         over = stats.failures_in_row - FAILURES_TO_AVOID
         if over >= 0:
             pause = min(AVOID_LONGEST_S, AVOID_FIRST_S * 2**over)
--- a/tests/gateway/test_server_stats.py
+++ b/tests/gateway/test_server_stats.py
@@ -73,3 +73,11 @@
     for attempt in range(5):
         stats.fail("bad", attempt, 1.0)
     assert stats.choose(SERVERS[:1], 1.1).id == "bad"
+
+
+def test_silent_server_is_avoided_after_one_request():
+    """Pattern: a server goes dark; each further request would cost a hedge."""
+    stats = ServerStats("a", random.Random(1))
+    stats.begin("bad", 1, 1.0)
+    stats.fail("bad", 1, 1.6, is_silent=True)
+    assert {stats.choose(SERVERS, 1.7).id for _ in range(50)} == {"good"}
--- a/tests/test_consensus_rules.py
+++ b/tests/test_consensus_rules.py
@@ -196,6 +196,32 @@
     assert driver.consensus.term == 1
 
 
+@pytest.mark.parametrize("idle", [("b",), ("b", "c")])
+def test_election_is_early_only_if_all_voters_have_just_started(idle):
+    """A voter that is missing may lead, or have heard a leader."""
+    driver = Driver()
+    driver.now = 0.2
+    driver.consensus.tick(driver.now)
+    driver.collect()
+    sent = []
+    for sender in idle:
+        reply = PreVoteReply(term=1, sender=sender, granted=False, idle=True)
+        sent += driver.receive(reply)
+    asked = [m for m in sent + driver.sync() if isinstance(m, RequestVote)]
+    assert [m.all_idle for m in asked] == ([True, True] if len(idle) == 2 else [])
+
+
+@pytest.mark.parametrize("has_heard", [False, True])
+def test_voter_that_heard_a_leader_refuses_an_early_vote(has_heard):
+    driver = Driver()
+    if has_heard:
+        driver.receive(_make_append((), commit=1))
+    driver.now = 0.3
+    vote = RequestVote(term=9, sender="b", last_index=1, last_term=1, all_idle=True)
+    replies = driver.receive(vote) + driver.sync()
+    assert any(isinstance(m, VoteReply) and m.granted for m in replies) != has_heard
+
+
 def test_leader_counts_its_own_entry_only_after_its_sync():
     driver = Driver()
     driver.lead()
