Hedge by two fifths of the objective; let callers of a starting gateway come back later

Change: a hedge is sent at two fifths of the objective at the latest; a gateway without a configuration names 0.7 to 0.95 s.

--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -16,6 +16,9 @@
 # been replaced in the list or a connection opened.
 RETRY_FIRST_S = 0.05
 RETRY_SPAN_S = 0.25
+# A gateway without a configuration has started just now, mostly with all
+# others; control elects and sends one within about a second.
+RETRY_STARTING_S = 0.7
 _KINDS = {
     Reason.NO_SERVER: ErrorKind.NO_LIVE_SERVER,
     Reason.REFUSED: ErrorKind.BACKEND_REFUSED,
@@ -123,7 +126,9 @@
         status = ERROR_ANSWERS[kind].http_status
         headers = ()
         if status in (429, 503):
-            wait_s = RETRY_FIRST_S + self._rng.random() * RETRY_SPAN_S
+            is_starting = kind is ErrorKind.NO_CONFIGURATION
+            first_s = RETRY_STARTING_S if is_starting else RETRY_FIRST_S
+            wait_s = first_s + self._rng.random() * RETRY_SPAN_S
             headers = (self._wire.encode_retry_after(wait_s),)
         return status, headers, kind.value.encode()
 
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -20,6 +20,9 @@
 # An answer later than nine in ten is late. With pauses of 4% and stragglers
 # of 1%, a twentieth of the sends is repeated without need.
 HEDGE_QUANTILE = 0.9
+# While many servers are slow, nine in ten of the answers are slow ones; a hedge
+# is still sent early enough that its answer meets the objective.
+HEDGE_OBJECTIVE_SHARE = 0.4
 # A send whose result is not needed any more keeps its connection this long, so
 # that no new one is needed; then the connection counts as silent.
 ABANDONED_S = 0.6
@@ -58,12 +61,11 @@
 class Forwarder:
     """Send requests to servers. ``wire`` encodes them and names headers."""
 
-    def __init__(self, cfg, wire, nursery, metrics):
+    def __init__(self, cfg, wire, nursery):
         self._rng = random.Random(cfg.seed or None)
         self.fleet = Fleet.create(cfg, self._rng, trio.current_time())
         self._wire = wire
         self._nursery = nursery
-        self._metrics = metrics
         self._pools = {}
         self._times = {}
         self._numbers = itertools.count()
@@ -87,7 +89,7 @@
         timeout_at = arrived_at + route.timeout_ms / 1000
         deadline_at = min(request.deadline_at, timeout_at)
         now = trio.current_time()
-        hedge_after_s = self._find_times(route).read(now)
+        hedge_after_s = self._choose_hedge_time(route, now)
         fetches = {
             service: Fetch(
                 FetchPolicy(
@@ -143,6 +145,13 @@
         left_ms = max(1, math.floor(left_s * 1000))
         return self._wire.encode_request(request, server.id, left_ms)
 
+    def _choose_hedge_time(self, route, now):
+        """Return after how many seconds an answer counts as late."""
+        late_s = self._find_times(route).read(now)
+        if not route.objective_ms:
+            return late_s
+        return min(late_s, HEDGE_OBJECTIVE_SHARE * route.objective_ms / 1000)
+
     def _find_times(self, route):
         times = self._times.get(route.name)
         if times is None:
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -52,7 +52,7 @@
         """Serve until ``drain`` has ended or the task is cancelled."""
         cfg = self._cfg
         async with trio.open_nursery() as nursery:
-            forwarder = Forwarder(cfg, wire, nursery, None)
+            forwarder = Forwarder(cfg, wire, nursery)
             state = FleetState(
                 forwarder.fleet, functools.partial(self._note, forwarder)
             )
