Start from a compiled copy without site; log a lost leader once

A gateway wrote ten lines a second while it asked members in turn.

Change: the build compiles a copy below target/; -S; a lost leader is logged if it was followed before; a gateway that reads the list itself says so once.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -1,11 +1,11 @@
-"""Start one program from the source tree with the platform's settings file."""
+"""Start one program of the build with the platform's settings file."""
 
 import importlib
 import os
 import sys
 from pathlib import Path
 
-SOURCE = Path(__file__).resolve().parent.parent / "src"
+PACKAGE = Path(__file__).resolve().parent.parent / "target" / "app"
 SETTINGS_VARIABLE = "WISTERIAWORKS_BOOT"
 PROGRAMS = {
     "gateway": "wisteriaworks.gateway.program",
@@ -15,7 +15,7 @@
 
 def main():
     """Run the named program."""
-    sys.path.insert(0, str(SOURCE))
+    sys.path.insert(0, str(PACKAGE))
     module = importlib.import_module(PROGRAMS[sys.argv[1]])
     sys.argv[1:] = ["run", os.environ[SETTINGS_VARIABLE]]
     module.main()
--- a/src/wisteriaworks/gateway/control_watch.py
+++ b/src/wisteriaworks/gateway/control_watch.py
@@ -30,6 +30,7 @@
         self._state = state
         self._members = ()
         self._hint = ""
+        self._is_followed = False
 
     def use_seeds(self, cfg):
         """Take over other seeds; they count when no member answers."""
@@ -50,26 +51,31 @@
         return list(dict.fromkeys([*self._members, *seeds]))
 
     async def _follow(self, address):
+        self._is_followed = False
+        reason = "it does not lead any more"
         async with Channel(address) as channel:
             try:
                 await self._read_updates(channel)
             except RpcError as exc:
-                log_event(Event.LEADER_SILENT, address=address, reason=exc.message)
+                reason = exc.message
+        # Members that are merely asked in turn are not worth a line each.
+        if self._is_followed:
+            log_event(Event.LEADER_SILENT, address=address, reason=reason)
 
     async def _read_updates(self, channel):
         version = self._state.routes.version
         message = Watch(name=self._cfg.name, config_version=version)
-        is_followed = False
         async with channel.stream(message, DAY_S) as replies:
-            while await self._take_next(replies, is_followed):
-                if not is_followed:
+            while await self._take_next(replies):
+                if not self._is_followed:
                     log_event(Event.LEADER_WATCHED, address=channel.address)
-                is_followed = True
+                self._is_followed = True
 
-    async def _take_next(self, replies, is_followed):
+    async def _take_next(self, replies):
         """Take one reply over and return whether the member still leads."""
         reply = None
-        with trio.move_on_after(SILENCE_S if is_followed else FIRST_UPDATE_S):
+        wait_s = SILENCE_S if self._is_followed else FIRST_UPDATE_S
+        with trio.move_on_after(wait_s):
             reply = await anext(replies, None)
         if isinstance(reply, FleetUpdate):
             self._members = reply.members
@@ -77,6 +83,4 @@
             return True
         if reply is not None:
             self._hint = reply.leader
-        elif is_followed:
-            log_event(Event.LEADER_SILENT, reason="no update in time")
         return False
--- a/src/wisteriaworks/gateway/fleet_state.py
+++ b/src/wisteriaworks/gateway/fleet_state.py
@@ -21,6 +21,7 @@
         self._state_index = 0
         self.routes = RouteIndex(Document(), 0)
         self.updated_at = -math.inf
+        self._is_alone = False
 
     @property
     def is_known(self):
@@ -30,6 +31,7 @@
     def take_update(self, update):
         """Take over what a leader sent."""
         now = self.updated_at = trio.current_time()
+        self._is_alone = False
         is_changed = self._take_configuration(update)
         table = self._fleet.table
         if update.list_read and update.full:
@@ -44,6 +46,9 @@
 
     def take_list(self, servers):
         """Take over a list that the gateway read itself."""
+        if not self._is_alone:
+            log_event(Event.LIST_READ_DIRECTLY, servers=len(servers))
+        self._is_alone = True
         self._fleet.table.replace(servers, trio.current_time())
         self._on_change(self.routes.document)
 
