--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	for transport in http frames frames-batched grpc-unary grpc-stream; do \
 		$(BIN)/python bench/transport.py $$transport || exit 1; done
 	$(BIN)/python bench/search.py
+	$(BIN)/python bench/upstream.py
 
 capacity: .venv/installed
 	$(BIN)/python bench/capacity.py
