Send nothing again once a request has ended

A send that is given up ends as timed out, and its fetch answered that with a send to the other server, though nobody waited any more.

Change: an ended run takes outcomes for the statistics only; a send that still waits for a connection is dropped at once.

--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -121,7 +121,14 @@
                     pool.cancel(exchange)
 
     def abandon(self, pool, exchange, keep_s):
-        """Let a send end by itself, or close its connection after a time."""
+        """Let a send end by itself, or close its connection after a time.
+
+        One that still waits for a connection is dropped at once.
+        """
+        if exchange.conn is None:
+            exchange.finish(Failed(Failure.ABANDONED, may_have_run=False))
+            pool.cancel(exchange)
+            return
         self._abandoned.add((pool, exchange, trio.current_time() + keep_s))
 
     def get_pool(self, server, document):
@@ -173,7 +180,7 @@
         self._document = document
         self._changed = trio.Event()
         self._open = {}
-        self._result = None
+        self._is_ended = False
 
     async def run(self):
         keep_s = CANCEL_AFTER_S
@@ -182,7 +189,8 @@
             keep_s = ABANDONED_S
             return result
         finally:
-            for pool, exchange in self._open.values():
+            self._is_ended = True
+            for pool, exchange in tuple(self._open.values()):
                 self._forwarder.abandon(pool, exchange, keep_s)
 
     async def _run(self):
@@ -246,6 +254,9 @@
                 stats.fail(server.id, number, now, is_silent=True)
             case _:
                 stats.fail(server.id, number, now)
+        if self._is_ended:
+            # Nobody waits for the answer, so nothing is sent again.
+            return
         send = fetch.note_outcome(server.id, outcome, now)
         if send is not None:
             self._send(fetch, send, now)
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -1,9 +1,13 @@
-"""Guard against hedges that come too late to meet the objective."""
+"""Guard against hedges that come too late, and sends for callers that have gone."""
+
+import functools
 
 import pytest
-from gateway_fakes import make_route, make_settings
+import trio
+from gateway_fakes import make_document, make_listed, make_route, make_settings
 
 from wisteriaworks.gateway.forwarder import HEDGE_OBJECTIVE_SHARE, Forwarder
+from wisteriaworks.gateway.model import CallerRequest
 from wisteriaworks.platform import wire
 
 
@@ -35,3 +39,42 @@
     route = make_route(objective_ms=0)
     observe(forwarder, route, [0.5])
     assert forwarder._choose_hedge_time(route, 1.0) > 0.4
+
+
+async def start_silent_server(nursery, requests):
+    """Return the address of a server that reads requests and never answers."""
+
+    async def serve(stream):
+        async for data in stream:
+            requests.append(data)
+
+    (listener,) = await nursery.start(
+        functools.partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
+    )
+    return f"127.0.0.1:{listener.socket.getsockname()[1]}"
+
+
+async def test_nothing_is_sent_again_once_the_caller_has_gone(nursery):
+    """On day hunt-984e-23 each send that was given up was sent to the other server."""
+    requests = []
+    forwarder = Forwarder(make_settings(), wire, nursery)
+    nursery.start_soon(forwarder.sweep)
+    addresses = [await start_silent_server(nursery, requests) for _ in range(2)]
+    listed = [make_listed(f"i{n}", address=a) for n, a in enumerate(addresses)]
+    forwarder.fleet.table.replace(listed, trio.current_time())
+    route = make_route(idempotent=True, timeout_ms=60_000)
+    request = CallerRequest(b"GET", b"/p/x", route.host, (), b"", b"id1", float("inf"))
+    now = trio.current_time()
+    async with trio.open_nursery() as caller:
+        caller.start_soon(
+            forwarder.run, request, route, ("s",), make_document(route), now
+        )
+        while not requests:
+            await trio.sleep(0.001)
+        caller.cancel_scope.cancel()
+    with trio.fail_after(10):
+        while forwarder._abandoned:
+            await trio.sleep(0.01)
+    # The other server would be connected and sent to within a few turns.
+    await trio.sleep(0.1)
+    assert len(requests) == 1
