Elect at once after a lost disk; find the leader among several members at once

Change: a member that answers at the address of a lost disk says that the old voter is gone. Voters that have all just started elect in the order of their ids, so that their votes do not split, and ask each other every 20 to 80 ms. Gateways ask up to four members at once, members hold a watch until a leader is known, and connection attempts to members end after 0.2 s.

--- a/src/wisteriaworks/consensus.py
+++ b/src/wisteriaworks/consensus.py
@@ -35,10 +35,18 @@
     heartbeat_s: float = 0.15
     election_min_s: float = 1.0
     election_max_s: float = 2.0
-    # The first pre-vote after a start finds out whether all voters have just
-    # started; it waits for their connections.
-    first_prevote_min_s: float = 0.05
-    first_prevote_max_s: float = 0.2
+    # A pre-vote after a start finds out whether all voters have just started.
+    # It is repeated at this pace while they start, which takes up to a second.
+    first_prevote_min_s: float = 0.02
+    first_prevote_max_s: float = 0.08
+    starting_s: float = 3.0
+    # Voters that have all just started may vote for different candidates; the
+    # next try waits for the votes, which take two syncs and a round trip.
+    restart_retry_min_s: float = 0.1
+    restart_retry_max_s: float = 0.3
+    # They start in the order of their ids, so that the first has most votes
+    # before the next one starts; a round trip takes 2 to 4 ms, a sync 2 ms.
+    restart_step_s: float = 0.03
     # A refused pre-vote costs nothing, so it is repeated sooner.
     prevote_retry_min_s: float = 0.25
     prevote_retry_max_s: float = 0.5
@@ -56,9 +64,10 @@
         self._leader_id = None
         self._reported = None
         # A restart forgets when a leader was heard last, so it counts as now.
-        self._heard_at = now
+        self._heard_at = self._started_at = now
         self._is_idle = True
         self._idle_voters = set()
+        self._elect_at = None
         self._granted = None
         self._is_prevote = False
         self._asked_at = now
@@ -89,6 +98,11 @@
         """Return the id of the leader of the term, or None."""
         return self._leader_id
 
+    @property
+    def is_idle(self):
+        """Say whether this member has heard no leader since its start."""
+        return self._is_idle
+
     @property
     def members(self):
         """Return the member list in force."""
@@ -119,6 +133,8 @@
         self._check_quorum(now)
         if self._leadership:
             self._leadership.tick(now)
+        elif self._elect_at is not None and now >= self._elect_at:
+            self._start_election(now, all_idle=True)
         elif now >= self._deadline and self._state.may_campaign:
             self._start_prevote(now)
         self._finish_input()
@@ -233,6 +249,7 @@
         self._term_leader = self._leader_id = leader_id
         self._granted = None
         self._is_idle = False
+        self._elect_at = None
         self._heard_at = now
         self._reset_deadline(now)
 
@@ -263,6 +280,7 @@
 
     def _enter_term(self, term, voted_for=None):
         self._step_down()
+        self._elect_at = None
         self._term_leader = self._following = None
         self._state.set_vote(term, voted_for)
 
@@ -281,9 +299,7 @@
     # Elections
 
     def _start_prevote(self, now):
-        low = self._timing.prevote_retry_min_s
-        high = self._timing.prevote_retry_max_s
-        self._deadline = now + self._rng.uniform(low, high)
+        self._deadline = now + self._choose_prevote_wait(now)
         self._leader_id = None
         self._is_prevote = True
         self._granted = {self.id}
@@ -291,8 +307,20 @@
         self._ask_voters(PreVote, self.term + 1)
         self._count_votes(now)
 
+    def _choose_prevote_wait(self, now):
+        timing = self._timing
+        if self._is_idle and now - self._started_at < timing.starting_s:
+            low, high = timing.first_prevote_min_s, timing.first_prevote_max_s
+        else:
+            low, high = timing.prevote_retry_min_s, timing.prevote_retry_max_s
+        return self._rng.uniform(low, high)
+
     def _start_election(self, now, all_idle=False):
         self._reset_deadline(now)
+        if all_idle:
+            timing = self._timing
+            low, high = timing.restart_retry_min_s, timing.restart_retry_max_s
+            self._deadline = now + self._rng.uniform(low, high)
         self._enter_term(self.term + 1, voted_for=self.id)
         self._is_prevote = False
         self._granted = set()
@@ -360,16 +388,21 @@
             self._note_idle(message.sender, now)
 
     def _note_idle(self, sender, now):
-        """Elect at once if no voter has heard a leader since its start.
+        """Elect soon if no voter has heard a leader since its start.
 
         After a loss of power there is no leader that could count on the voters
         that restarted, since it would be one of them.
         """
         self._idle_voters.add(sender)
-        if self._is_idle and self._idle_voters.issuperset(
-            self._state.membership.voters
-        ):
+        voters = self._state.membership.voters
+        if not self._is_idle or not self._idle_voters.issuperset(voters):
+            return
+        rank = sorted(voters).index(self.id) if self.id in voters else len(voters)
+        if rank == 0:
             self._start_election(now, all_idle=True)
+        elif self._elect_at is None:
+            self._elect_at = now + rank * self._timing.restart_step_s
+            self._deadline = max(self._deadline, self._elect_at)
 
     def _handle_request_vote(self, message, now):
         # Ignored without taking over the term, so that a member that was cut
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -86,9 +86,10 @@
                     nursery.start_soon(
                         watch_platform, self._cfg.platform, self._take_leaving
                     )
+                # Messages come first: other members wait for this one to elect.
+                listeners = await nursery.start(self._server.serve, self._cfg.address)
                 app = AdminApp(self.is_ready, self._render_page)
                 await nursery.start(serve_http, app, self._cfg.admin)
-                listeners = await nursery.start(self._server.serve, self._cfg.address)
                 if self._cfg.operators is not None:
                     await nursery.start(self._serve_operators, self._cfg.operators)
                 task_status.started(listeners)
@@ -105,6 +106,7 @@
             timing=Timing(
                 election_min_s=cfg.election_s, election_max_s=2 * cfg.election_s
             ),
+            on_leadership=lambda leadership: self._orders.notify(),
         )
 
     async def _serve_operators(self, cfg, *, task_status):
--- a/src/wisteriaworks/gateway/control_watch.py
+++ b/src/wisteriaworks/gateway/control_watch.py
@@ -1,4 +1,9 @@
-"""Follow the control leader, whichever member it is."""
+"""Follow the control leader, whichever member it is.
+
+Load pattern: all processes start again at once, or a failure domain is dark.
+A member without power lets a connection attempt hang, so several members are
+asked at the same time and the first that leads is followed.
+"""
 
 import itertools
 
@@ -11,9 +16,17 @@
 
 # Three keepalives of the leader.
 SILENCE_S = 1.5
-# The first answer of a member that leads comes within a round trip.
+# A member that leads answers within a round trip; one that knows no leader
+# holds the question for a keepalive.
 FIRST_UPDATE_S = 0.6
 RETRY_S = 0.1
+# Many round trips; an attempt begun while the member was dark is given up.
+CONNECT_TIMEOUT_S = 0.2
+# Members asked at once. More would load control when all gateways of a large
+# system look for a leader; with four voters these are all of them.
+SEARCH_WIDTH = 4
+# Time after which other members are asked, in case the group has moved.
+SEARCH_S = 2.0
 DAY_S = 86400.0
 
 
@@ -22,15 +35,51 @@
     return [f"{split_address(seed)[0]}:{port}" for seed in seeds]
 
 
+class _Search:
+    """Ask several members at once until one of them leads."""
+
+    def __init__(self, nursery, limit):
+        self._nursery = nursery
+        self._limit = limit
+        self._scopes = {}
+        self._chosen = None
+
+    def ask(self, address, task):
+        """Run ``task(address, search)`` unless that member is asked already."""
+        if address not in self._scopes:
+            self._scopes[address] = trio.CancelScope()
+            self._nursery.start_soon(self._run, address, task)
+
+    async def _run(self, address, task):
+        with self._scopes[address]:
+            await task(address, self)
+
+    def choose(self, address):
+        """Stop asking the others and return True, if none was chosen before.
+
+        The search then takes as long as the chosen member leads.
+        """
+        if self._chosen is not None:
+            return False
+        self._chosen = address
+        self._limit.deadline = float("inf")
+        for other, scope in self._scopes.items():
+            if other != address:
+                scope.cancel()
+        return True
+
+    def end(self):
+        """End the search, so that a new one begins."""
+        self._nursery.cancel_scope.cancel()
+
+
 class ControlWatch:
-    """Ask the members in turn until one leads, and follow it while it does."""
+    """Find the member that leads, and follow it while it does."""
 
     def __init__(self, cfg, state):
         self._cfg = cfg
         self._state = state
         self._members = ()
-        self._hint = ""
-        self._is_followed = False
 
     def use_seeds(self, cfg):
         """Take over other seeds; they count when no member answers."""
@@ -39,48 +88,58 @@
     async def run(self):
         """Run until cancelled."""
         for number in itertools.count():
-            addresses = self._list_addresses()
-            address = self._hint or addresses[number % len(addresses)]
-            self._hint = ""
-            await self._follow(address)
-            if not self._hint:
-                await trio.sleep(RETRY_S)
-
-    def _list_addresses(self):
+            with trio.move_on_after(SEARCH_S) as limit:
+                async with trio.open_nursery() as nursery:
+                    search = _Search(nursery, limit)
+                    for address in self._choose_addresses(number):
+                        search.ask(address, self._ask)
+
+    def _choose_addresses(self, number):
         seeds = list_member_addresses(self._cfg.seeds, self._cfg.member_port)
-        return list(dict.fromkeys([*self._members, *seeds]))
+        addresses = list(dict.fromkeys([*self._members, *seeds]))
+        first = number * SEARCH_WIDTH % len(addresses)
+        return (addresses[first:] + addresses[:first])[:SEARCH_WIDTH]
 
-    async def _follow(self, address):
-        self._is_followed = False
-        reason = "it does not lead any more"
-        async with Channel(address) as channel:
-            try:
-                await self._read_updates(channel)
-            except RpcError as exc:
-                reason = exc.message
-        # Members that are merely asked in turn are not worth a line each.
-        if self._is_followed:
-            log_event(Event.LEADER_SILENT, address=address, reason=reason)
-
-    async def _read_updates(self, channel):
+    async def _ask(self, address, search):
+        """Ask one member again and again; follow it once it leads."""
+        while True:
+            async with Channel(address, CONNECT_TIMEOUT_S) as channel:
+                hint = await self._follow(channel, search)
+            if hint:
+                search.ask(hint, self._ask)
+            await trio.sleep(RETRY_S)
+
+    async def _follow(self, channel, search):
+        """Return the address of the leader, if the member names another one."""
         version = self._state.routes.version
         message = Watch(name=self._cfg.name, config_version=version)
-        async with channel.stream(message, DAY_S) as replies:
-            while await self._take_next(replies):
-                if not self._is_followed:
-                    log_event(Event.LEADER_WATCHED, address=channel.address)
-                self._is_followed = True
-
-    async def _take_next(self, replies):
-        """Take one reply over and return whether the member still leads."""
-        reply = None
-        wait_s = SILENCE_S if self._is_followed else FIRST_UPDATE_S
-        with trio.move_on_after(wait_s):
-            reply = await anext(replies, None)
-        if isinstance(reply, FleetUpdate):
-            self._members = reply.members
-            self._state.take_update(reply)
-            return True
-        if reply is not None:
-            self._hint = reply.leader
-        return False
+        is_followed, hint = False, ""
+        reason = "it does not lead any more"
+        try:
+            async with channel.stream(message, DAY_S) as replies:
+                while isinstance(
+                    reply := await _read_reply(replies, is_followed), FleetUpdate
+                ):
+                    if not is_followed:
+                        # Another one may have been chosen at the same moment.
+                        if not search.choose(channel.address):
+                            return ""
+                        is_followed = True
+                        log_event(Event.LEADER_WATCHED, address=channel.address)
+                    self._members = reply.members
+                    self._state.take_update(reply)
+                hint = reply.leader if reply is not None else ""
+        except RpcError as exc:
+            reason = exc.message
+        # Members that are merely asked are not worth a line each.
+        if is_followed:
+            log_event(Event.LEADER_SILENT, address=channel.address, reason=reason)
+            search.end()
+        return hint
+
+
+async def _read_reply(replies, is_followed):
+    """Return the next reply, or None after a silence."""
+    with trio.move_on_after(SILENCE_S if is_followed else FIRST_UPDATE_S):
+        return await anext(replies, None)
+    return None
--- a/src/wisteriaworks/message_sender.py
+++ b/src/wisteriaworks/message_sender.py
@@ -12,6 +12,8 @@
 # shortest election timeout, so that a silent connection costs no election.
 DELIVER_TIMEOUT_S = 0.5
 RECONNECT_S = 0.05
+# Many round trips; an attempt begun while the recipient was dark is given up.
+CONNECT_TIMEOUT_S = 0.2
 # A recipient that sends no reply for this long has left.
 IDLE_S = 60.0
 _QUEUED_MESSAGES = 256
@@ -78,7 +80,7 @@
     async def _send_until_failure(self, recipient):
         """Send messages over one channel; return False if there are no more."""
         limiter = trio.CapacityLimiter(_UNANSWERED_MESSAGES)
-        channel = rpc.Channel(recipient.address)
+        channel = rpc.Channel(recipient.address, CONNECT_TIMEOUT_S)
         async with channel, trio.open_nursery() as calls:
             while True:
                 deliver = None
--- a/src/wisteriaworks/orders.py
+++ b/src/wisteriaworks/orders.py
@@ -156,6 +156,7 @@
 
     async def _watch(self, message, send):
         """Send updates until this member stops to lead."""
+        await self._wait_for_leader()
         version, revision = message.config_version, 0
         self._watches.append(message.name)
         self.notify()
@@ -170,6 +171,12 @@
             self._watches.remove(message.name)
         return self._name_leader()
 
+    async def _wait_for_leader(self):
+        """Hold a gateway while no leader is known, so that it hears of one at once."""
+        with trio.move_on_after(KEEPALIVE_S):
+            while not self._node.replica.leader_address and not self._node.is_stopping:
+                await self._changed.wait()
+
     def _make_update(self, name, version, revision):
         machine = self._node.machine
         changes = self._directory.list_changes(revision, trio.current_time())
--- a/src/wisteriaworks/replica.py
+++ b/src/wisteriaworks/replica.py
@@ -19,7 +19,7 @@
 )
 from wisteriaworks.errors import MembershipError, NotLeaderError, ProposalUnknownError
 from wisteriaworks.events import Event, log_event
-from wisteriaworks.generated.consensus import EntryKind
+from wisteriaworks.generated.consensus import EntryKind, PreVote, PreVoteReply
 from wisteriaworks.message_sender import MessageSender
 
 TICK_S = 0.025
@@ -182,12 +182,34 @@
         There is no checkpoint, so that a message is handled as a whole even
         if its sender has cancelled the call.
         """
-        if not self._is_running or message.recipient != self.id:
+        if not self._is_running:
+            return
+        if message.recipient != self.id:
+            self._answer_for_lost_disk(message)
             return
         self._addresses[message.message.sender] = message.address
         self._input(self._consensus.receive, message.message)
         self._carry_out()
 
+    def _answer_for_lost_disk(self, deliver):
+        """Tell a candidate that the voter it asks has gone with its disk.
+
+        After a loss of power in which a disk was lost, the other voters would
+        else wait for the time of an election, in case that voter leads.
+        """
+        name = deliver.recipient.rpartition("/")[0]
+        own_name = self.id.rpartition("/")[0]
+        if not isinstance(deliver.message, PreVote) or name != own_name:
+            return
+        reply = PreVoteReply(
+            # The lowest term, since the lost voter's is not known.
+            term=0,
+            sender=deliver.recipient,
+            granted=False,
+            idle=self._consensus.is_idle,
+        )
+        self._sender.send(deliver.message.sender, deliver.address, reply)
+
     @property
     def _is_running(self):
         return self._sender is not None and self._failure is None
--- a/src/wisteriaworks/rpc.py
+++ b/src/wisteriaworks/rpc.py
@@ -169,11 +169,16 @@
 
 
 class Channel(BackgroundTasks):
-    """Call one peer. Use as an asynchronous context manager."""
+    """Call one peer. Use as an asynchronous context manager.
 
-    def __init__(self, address):
+    A connection attempt that began while the peer had no power hangs for
+    about a second after it is back; ``connect_timeout_s`` bounds that.
+    """
+
+    def __init__(self, address, connect_timeout_s=CONNECT_TIMEOUT_S):
         super().__init__()
         self.address = address
+        self._connect_timeout_s = connect_timeout_s
         self._connection = None
         self._connecting = trio.Lock()
 
@@ -209,7 +214,7 @@
             return self._connection
 
     async def _open(self, deadline):
-        limit = min(deadline, trio.current_time() + CONNECT_TIMEOUT_S)
+        limit = min(deadline, trio.current_time() + self._connect_timeout_s)
         host, port = split_address(self.address)
         with trio.move_on_at(limit):
             try:
--- /dev/null
+++ b/tests/gateway/test_control_watch.py
@@ -0,0 +1,159 @@
+"""Guard against gateways that wait on a dark member while another one leads."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+import trio
+import trio.testing
+from gateway_fakes import make_settings
+
+from wisteriaworks.gateway import control_watch
+from wisteriaworks.gateway.control_watch import ControlWatch
+from wisteriaworks.gateway.fleet_state import FleetState
+from wisteriaworks.gateway.forwarder import Fleet
+from wisteriaworks.generated.messages import FleetUpdate, NotLeader, Watch
+from wisteriaworks.orders import OrderService
+from wisteriaworks.processes import find_free_ports
+from wisteriaworks.rpc import RpcServer
+from wisteriaworks.server_directory import ServerDirectory
+
+WAIT_S = 30.0
+PORT = find_free_ports(1)[0]
+
+
+def make_update(index, members=()):
+    return FleetUpdate(
+        state_index=index,
+        config_version=0,
+        document=None,
+        domains_out=(),
+        gateways=1,
+        position=0,
+        list_read=False,
+        full=False,
+        servers=(),
+        removed=(),
+        members=members,
+    )
+
+
+class StandInMember:
+    """Answer watches as a leader, as a follower, or not at all."""
+
+    def __init__(self, host):
+        self.address = f"{host}:{PORT}"
+        self.leads = False
+        self.hint = ""
+        self.is_dark = False
+        self.asked = 0
+
+    async def serve(self, nursery):
+        server = RpcServer({Watch: self._watch})
+        await nursery.start(server.serve, self.address)
+
+    async def _watch(self, message, send):
+        self.asked += 1
+        if self.is_dark:
+            await trio.sleep_forever()
+        while self.leads:
+            send(make_update(self.asked))
+            await trio.sleep(0.05)
+        return NotLeader(leader=self.hint)
+
+
+@pytest.fixture
+async def members(nursery):
+    made = [StandInMember(f"127.0.0.{n}") for n in range(1, 7)]
+    for member in made:
+        await member.serve(nursery)
+    return made
+
+
+@pytest.fixture
+def state(nursery):
+    fleet = Fleet.create(make_settings(), random.Random(1), trio.current_time())
+    return FleetState(fleet, lambda document: None)
+
+
+def start_watch(nursery, members, state):
+    seeds = tuple(member.address for member in members)
+    watch = ControlWatch(make_settings(seeds=seeds, member_port=PORT), state)
+    nursery.start_soon(watch.run)
+
+
+async def wait_until(condition):
+    with trio.fail_after(WAIT_S):
+        while not condition():
+            await trio.sleep(0.02)
+
+
+async def test_dark_members_do_not_delay_the_leader(
+    members, nursery, state, monkeypatch
+):
+    """Some of them may still be without power while the group has a leader."""
+    monkeypatch.setattr(control_watch, "FIRST_UPDATE_S", 1e6)
+    monkeypatch.setattr(control_watch, "SEARCH_S", 1e6)
+    for member in members[:3]:
+        member.is_dark = True
+    members[3].leads = True
+    start_watch(nursery, members[:4], state)
+    await wait_until(lambda: state.updated_at > 0)
+
+
+async def test_leader_outside_the_first_members_is_found(members, nursery, state):
+    members[5].leads = True
+    start_watch(nursery, members, state)
+    await wait_until(lambda: state.updated_at > 0)
+
+
+async def test_named_leader_is_asked(members, nursery, state):
+    members[5].leads = True
+    for member in members[:3]:
+        member.hint = members[5].address
+    start_watch(nursery, members[:3], state)
+    await wait_until(lambda: state.updated_at > 0)
+
+
+async def test_next_leader_is_followed_when_one_is_lost(members, nursery, state):
+    members[0].leads = True
+    start_watch(nursery, members[:3], state)
+    await wait_until(lambda: state.updated_at > 0)
+    members[0].leads = False
+    members[1].leads = True
+    asked = members[1].asked
+    await wait_until(lambda: members[1].asked > asked)
+    updated_at = state.updated_at
+    await wait_until(lambda: state.updated_at > updated_at)
+
+
+async def test_only_one_member_is_followed(members, nursery, state):
+    for member in members[:3]:
+        member.leads = True
+    start_watch(nursery, members[:3], state)
+    await wait_until(lambda: state.updated_at > 0)
+    asked = [member.asked for member in members[:3]]
+    await trio.sleep(0.3)
+    assert [member.asked for member in members[:3]] == asked
+
+
+async def test_member_holds_a_watch_until_a_leader_is_known(nursery):
+    """A gateway that asks again at intervals hears of a new leader too late."""
+    replica = SimpleNamespace(leader_address=None, is_leader=False)
+    node = SimpleNamespace(
+        replica=replica, is_stopping=False, cfg=SimpleNamespace(address="a:1")
+    )
+    service = OrderService(node, ServerDirectory())
+    replies = []
+
+    async def watch():
+        handler = service.list_handlers()[Watch]
+        replies.append(await handler(Watch(name="g", config_version=0), None))
+
+    nursery.start_soon(watch)
+    await trio.testing.wait_all_tasks_blocked()
+    assert replies == []
+    replica.leader_address = "b:1"
+    service.notify()
+    await wait_until(lambda: replies)
+    assert replies == [NotLeader(leader="b:1")]
--- a/tests/test_consensus_rules.py
+++ b/tests/test_consensus_rules.py
@@ -30,10 +30,10 @@
 class Driver:
     """Give inputs to member ``a`` of three; disk notices come when asked for."""
 
-    def __init__(self, entries=(FIRST,), term=1, voted_for=None):
+    def __init__(self, entries=(FIRST,), term=1, voted_for=None, member_id="a"):
         stored = StoredState(term=term, voted_for=voted_for, entries=entries)
         self.now = 0.0
-        self.consensus = Consensus("a", stored, Timing(), random.Random(0), 0.0)
+        self.consensus = Consensus(member_id, stored, Timing(), random.Random(0), 0.0)
         self.sent = []
         self.sequence = 0
 
@@ -211,6 +211,24 @@
     assert [m.all_idle for m in asked] == ([True, True] if len(idle) == 2 else [])
 
 
+@pytest.mark.parametrize("is_asked", [False, True])
+def test_voters_that_have_just_started_do_not_split_their_votes(is_asked):
+    """Without an order each would vote for itself, and the next try comes later."""
+    driver = Driver(member_id="b")
+    driver.now = 0.2
+    driver.consensus.tick(driver.now)
+    for sender in "ac":
+        reply = PreVoteReply(term=1, sender=sender, granted=False, idle=True)
+        assert not any(isinstance(m, RequestVote) for m in driver.receive(reply))
+    if is_asked:
+        vote = RequestVote(term=2, sender="a", last_index=1, last_term=1, all_idle=True)
+        driver.receive(vote)
+    driver.now += Timing().restart_step_s
+    driver.consensus.tick(driver.now)
+    asked = [m for m in driver.sync() if isinstance(m, RequestVote)]
+    assert [m.all_idle for m in asked] == ([] if is_asked else [True, True])
+
+
 @pytest.mark.parametrize("has_heard", [False, True])
 def test_voter_that_heard_a_leader_refuses_an_early_vote(has_heard):
     driver = Driver()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -9,6 +9,7 @@
 import trio
 
 from wisteriaworks import rpc
+from wisteriaworks.consensus import Timing
 from wisteriaworks.effects import PersistVote
 from wisteriaworks.errors import (
     MembershipError,
@@ -22,6 +23,7 @@
 from wisteriaworks.replica import Replica
 
 SNAPSHOT_EVERY = 50
+WAIT_S = 30.0
 
 
 class Commands:
@@ -57,7 +59,8 @@
         listeners = await self._nursery.start(server.serve, "127.0.0.1:0")
         self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
 
-    async def start(self):
+    async def start(self, timing=None):
+        self._timing = timing
         self._stopped = trio.Event()
         self._scope = await self._nursery.start(self._run)
 
@@ -79,6 +82,7 @@
                 self.commands,
                 random.Random(self.name),
                 snapshot_every=SNAPSHOT_EVERY,
+                timing=self._timing,
                 on_leadership=self.changes.append,
             )
             async with trio.open_nursery() as nursery:
@@ -241,6 +245,29 @@
     assert {b"a%d" % n for n in range(200)} < set(applied)
 
 
+@pytest.mark.parametrize("lost", [(), (0,), (2,)])
+async def test_group_that_lost_power_does_not_wait_for_a_lost_disk(cluster, lost):
+    """The voter of the lost disk may have led, so nobody else knows that none leads."""
+    await cluster.propose_all(20, b"a")
+    old_ids = [host.replica.id for host in cluster.hosts]
+    for host in cluster.hosts:
+        await host.stop()
+    for number in lost:
+        for path in cluster.hosts[number].folder.iterdir():
+            path.unlink()
+    # No voter is elected by waiting.
+    timing = Timing(election_min_s=1e6, election_max_s=2e6)
+    for host in cluster.hosts:
+        await host.start(timing)
+    with trio.fail_after(WAIT_S):
+        await cluster.propose(b"b")
+        for number in lost:
+            await cluster.change(MemberAction.REMOVE, old_ids[number])
+            await cluster.add(cluster.hosts[number])
+        applied = await cluster.settle()
+    assert {b"a%d" % n for n in range(20)} < set(applied)
+
+
 async def test_message_for_an_old_identity_is_ignored(cluster):
     host = cluster.hosts[0]
     term = host.replica.term
