Explain each failed request, ask servers again, and choose them by speed

Cause: an answer that lacked shards or a refused request left one line without a reason, refusals of starting gateways left none, and the gateway had no metrics, so the causes of losses could not be read.

Change: lines 704 to 710 carry the causes by service with servers, last outcome and what denied one more send, the time left, the configuration's version and the age of the leader's news. They are bounded to 20 a second and event, with lines for what was left out; complete answers are sampled, one in 200. Lines are written by a thread behind a bounded queue. Gateways count requests, durations, missing shards and sends at an admin address. A server that refused or failed is asked once more when no other is left, after 20 ms if it refused. A server's speed is a factor of the route's median, forgotten within seconds, and a server with an open connection is preferred a little.

--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -28,6 +28,8 @@
     STOP_TIMED_OUT = _Spec(105, "ERROR", "stop took too long")
     SETTINGS_RELOADED = _Spec(106, "INFO", "settings read again")
     SETTINGS_REFUSED = _Spec(107, "ERROR", "changed settings cannot be used")
+    LINES_LEFT_OUT = _Spec(108, "WARNING", "lines of an event were left out")
+    LOG_DROPPED = _Spec(109, "WARNING", "log lines were dropped: the reader is slow")
     # 2xx: entry and control sessions
     SESSION_OPENED = _Spec(201, "INFO", "session opened")
     SESSION_LOST = _Spec(202, "WARNING", "session lost")
@@ -60,6 +62,8 @@
     SNAPSHOT_RESTORED = _Spec(510, "INFO", "snapshot of the leader restored")
     PLATFORM_UNREADABLE = _Spec(511, "WARNING", "list of VMs cannot be read")
     DOMAIN_ORDERED = _Spec(512, "INFO", "failure domain ordered out or back")
+    CONFIGURATION_REFUSED = _Spec(513, "WARNING", "configuration refused as not valid")
+    ORDER_NOT_TAKEN = _Spec(514, "WARNING", "order or read not taken: no leader")
     # 6xx: console
     OPERATOR_SIGNED_IN = _Spec(601, "INFO", "operator signed in")
     SIGN_IN_REFUSED = _Spec(602, "WARNING", "sign-in refused")
@@ -71,6 +75,11 @@
     LIST_READ_DIRECTLY = _Spec(703, "INFO", "gateway reads the list of servers itself")
     REQUEST_UNSERVED = _Spec(704, "WARNING", "request on a route not served")
     ANSWER_PARTIAL = _Spec(705, "INFO", "answer on a route lacks some shards")
+    REQUEST_REFUSED = _Spec(706, "WARNING", "request refused before it had a route")
+    REQUEST_SERVED = _Spec(707, "INFO", "sample of the requests that were answered")
+    CALLER_GONE = _Spec(708, "INFO", "caller left before its answer")
+    GATEWAY_READY = _Spec(709, "INFO", "gateway is ready for callers")
+    SERVER_AVOIDED = _Spec(710, "INFO", "server is avoided for a time")
 
 
 def log_failure(exc, **fields):
--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -1,13 +1,11 @@
 """Answer callers on the routes of the configuration."""
 
-import math
 import random
 
 import trio
 
 from wisteriaworks.asgi import read_body, run_lifespan
 from wisteriaworks.errors import ERROR_ANSWERS, ErrorKind, RequestError, RunState
-from wisteriaworks.events import Event, log_event
 from wisteriaworks.gateway.query import Gathered, Reason, Single, Unserved
 from wisteriaworks.gateway.records import merge_greatest
 from wisteriaworks.gateway.route_index import ServiceRotation
@@ -34,12 +32,15 @@
 class GatewayApp:
     """Serve one gateway as an ASGI app."""
 
-    def __init__(self, state, forwarder, wire, readiness_port, rng=None):
+    def __init__(self, state, forwarder, wire, readiness_port, log, admin=None):
         self._state = state
+        self._log = log
         self._forwarder = forwarder
         self._wire = wire
         self._readiness_port = readiness_port
-        self._rng = rng or random.Random()
+        # Another app by its port.
+        self._admin_port, self._admin = admin or (None, None)
+        self._rng = random.Random()
         self._rotation = ServiceRotation(self._rng)
         self.is_stopping = False
         self.running = 0
@@ -55,6 +56,8 @@
                 await run_lifespan(receive, send)
             case "http" if scope["server"][1] == self._readiness_port:
                 await self._send(send, 200 if self.is_ready else 503, (), b"")
+            case "http" if scope["server"][1] == self._admin_port:
+                await self._admin(scope, receive, send)
             case "http":
                 await self._serve(scope, receive, send)
 
@@ -75,23 +78,28 @@
             body = await read_body(receive, limit)
             request = self._wire.read_request(scope, body, arrived_at)
         except RequestError as exc:
-            return self._refuse(exc.kind)
+            return self._refuse_early(exc.kind, None, arrived_at)
         except (KeyError, ValueError):
-            return self._refuse(ErrorKind.MALFORMED_REQUEST)
+            kind = ErrorKind.MALFORMED_REQUEST
+            return self._refuse_early(kind, None, arrived_at)
+        if not self._state.is_known:
+            kind = ErrorKind.NO_CONFIGURATION
+            return self._refuse_early(kind, request, arrived_at)
+        routes = self._state.routes
+        route = routes.find(request.host, scope["path"])
+        if route is None:
+            kind = ErrorKind.UNKNOWN_ROUTE
+            return self._refuse_early(kind, request, arrived_at)
         answer = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-            answer = await self._answer(request, scope["path"], arrived_at)
+            answer = await self._answer(request, route, routes, arrived_at)
             nursery.cancel_scope.cancel()
+        if answer is None:
+            self._log.note_gone(route, request, arrived_at)
         return answer
 
-    async def _answer(self, request, path, arrived_at):
-        routes = self._state.routes
-        if not self._state.is_known:
-            return self._refuse(ErrorKind.NO_CONFIGURATION)
-        route = routes.find(request.host, path)
-        if route is None:
-            return self._refuse(ErrorKind.UNKNOWN_ROUTE)
+    async def _answer(self, request, route, routes, arrived_at):
         services = route.shards or (self._rotation.choose(route),)
         result = await self._forwarder.run(
             request, route, services, routes.document, arrived_at
@@ -101,27 +109,26 @@
     def _make_answer(self, result, route, request, arrived_at):
         match result:
             case Single(answer):
+                self._log.note_answer(route, request, answer.status, arrived_at)
                 return answer.status, answer.headers, answer.body
-            case Gathered(parts, missing):
+            case Gathered(parts, missing, causes):
                 if missing:
-                    self._log(Event.ANSWER_PARTIAL, route, request, missing=missing)
+                    self._log.note_partial(route, request, missing, causes, arrived_at)
+                else:
+                    self._log.note_answer(route, request, _SUCCESS, arrived_at)
                 body = merge_greatest([p.body for p in parts], route.top_records)
                 return _SUCCESS, self._wire.encode_parts(parts, missing), body
             case Unserved(reason, may_have_run):
                 kind = _KINDS[reason]
                 if may_have_run and ERROR_ANSWERS[kind].run_state is RunState.NOT_RUN:
                     kind = ErrorKind.TOO_FEW_PARTS
-                waited_ms = math.floor((trio.current_time() - arrived_at) * 1000)
-                self._log(
-                    Event.REQUEST_UNSERVED,
-                    route,
-                    request,
-                    kind=kind.value,
-                    may_have_run=may_have_run,
-                    waited_ms=waited_ms,
-                )
+                self._log.note_unserved(route, request, result, kind, arrived_at)
                 return self._refuse(kind)
 
+    def _refuse_early(self, kind, request, arrived_at):
+        self._log.note_refused(kind, request, arrived_at)
+        return self._refuse(kind)
+
     def _refuse(self, kind):
         status = ERROR_ANSWERS[kind].http_status
         headers = ()
@@ -132,11 +139,6 @@
             headers = (self._wire.encode_retry_after(wait_s),)
         return status, headers, kind.value.encode()
 
-    def _log(self, event, route, request, **fields):
-        log_event(
-            event, route=route.name, request=request.id.decode("latin-1"), **fields
-        )
-
     async def _send(self, send, status, headers, body):
         fixed = tuple((n, v) for n, v in headers if n.lower() != b"content-length")
         headers = [*fixed, (b"content-length", b"%d" % len(body))]
--- a/src/wisteriaworks/gateway/model.py
+++ b/src/wisteriaworks/gateway/model.py
@@ -3,8 +3,6 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wisteriaworks.generated.document import Route
-
 Header = tuple[bytes, bytes]
 
 
@@ -87,10 +85,12 @@
 Outcome = Answered | Refused | Failed
 
 
-@dataclass(frozen=True, slots=True)
-class Target:
-    """Name where one request goes: the route and the services of one version."""
-
-    route: Route
-    services: tuple[str, ...]
-    version: int
+def name_outcome(outcome):
+    """Return the name of an outcome for logs and counts."""
+    match outcome:
+        case Answered(answer):
+            return f"status_{answer.status}"
+        case Refused():
+            return "refused"
+        case Failed(failure):
+            return failure.value
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -1,19 +1,24 @@
 """The program wisteria-gateway."""
 
 import functools
+import math
+import random
 import signal
 
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from wisteriaworks.admin import AdminApp
 from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.gateway.app import GatewayApp
 from wisteriaworks.gateway.control_watch import ControlWatch
 from wisteriaworks.gateway.fleet_state import FleetState
 from wisteriaworks.gateway.forwarder import Forwarder
+from wisteriaworks.gateway.request_log import RequestLog
 from wisteriaworks.list_reader import ListFollower, ListReader
 from wisteriaworks.logs import configure_logs
+from wisteriaworks.metrics import Metrics
 from wisteriaworks.platform import wire
 from wisteriaworks.rpc import split_address
 from wisteriaworks.settings_watch import SettingsWatch
@@ -38,21 +43,27 @@
         self.app = None
         self._watch = None
         self._settings = None
+        self._was_ready = False
+        self._created_at = 0.0
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until ``drain`` has ended or the task is cancelled."""
         cfg = self._cfg
+        self._created_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            forwarder = Forwarder(cfg, wire, nursery)
+            metrics = Metrics(PROGRAM, cfg.name)
+            forwarder = Forwarder(cfg, wire, nursery, metrics)
             state = FleetState(
                 forwarder.fleet, functools.partial(self._note, forwarder)
             )
-            readiness_port = split_address(cfg.readiness)[1]
-            self.app = GatewayApp(state, forwarder, wire, readiness_port)
+            log = RequestLog(state, metrics, random.Random())
+            self.app = self._make_app(state, forwarder, log, metrics)
+            self._observe(state, forwarder, metrics)
             self._watch = ControlWatch(cfg, state)
             self._settings = SettingsWatch(self._path, cfg, self._watch.use_seeds)
             nursery.start_soon(self._watch.run)
             nursery.start_soon(forwarder.sweep)
+            nursery.start_soon(log.run)
             nursery.start_soon(self._read_list_alone, state)
             nursery.start_soon(self._settings.run)
             serving = functools.partial(serve, shutdown_trigger=self._stop.wait)
@@ -60,6 +71,53 @@
             task_status.started()
             await trio.sleep_forever()
 
+    def _make_app(self, state, forwarder, log, metrics):
+        admin = None
+        if self._cfg.admin:
+            is_ready = functools.partial(getattr, self, "is_ready")
+            port = split_address(self._cfg.admin)[1]
+            admin = (port, AdminApp(is_ready, metrics))
+        readiness_port = split_address(self._cfg.readiness)[1]
+        return GatewayApp(state, forwarder, wire, readiness_port, log, admin)
+
+    def _observe(self, state, forwarder, metrics):
+        observe, fleet = metrics.observe, forwarder.fleet
+        observe(
+            "wisteria.gateway.configuration.version",
+            "Version of the configuration in force",
+            lambda: state.routes.version,
+        )
+        observe(
+            "wisteria.gateway.state.age",
+            "Seconds since the last news of the leader",
+            lambda: trio.current_time() - state.updated_at,
+        )
+        observe(
+            "wisteria.gateway.requests.running",
+            "Requests without an answer",
+            lambda: self.app.running,
+        )
+        observe(
+            "wisteria.gateway.servers",
+            "Servers in the list",
+            lambda: len(fleet.table.list_ids()),
+        )
+        observe(
+            "wisteria.gateway.fleet.size",
+            "Gateways that share the budgets",
+            lambda: fleet.budget.gateways,
+        )
+        observe(
+            "wisteria.gateway.connections",
+            "Open connections to servers",
+            forwarder.count_connections,
+        )
+
+    @property
+    def is_ready(self):
+        """Say whether callers should be sent here."""
+        return self.app.is_ready
+
     async def _serve(self, serving, *, task_status):
         await serving(self.app, self._http, task_status=task_status)
 
@@ -78,6 +136,10 @@
 
     def _note(self, forwarder, document):
         forwarder.note_servers(document)
+        if self.app.is_ready and not self._was_ready:
+            self._was_ready = True
+            started_ms = math.floor((trio.current_time() - self._created_at) * 1000)
+            log_event(Event.GATEWAY_READY, after_ms=started_ms)
         self._http.keep_alive_timeout = document.limits.idle_timeout_ms / 1000
         self._http.h11_max_incomplete_size = document.limits.max_header_bytes
 
@@ -94,7 +156,7 @@
 
 def _make_http_config(cfg):
     http = Config()
-    http.bind = [cfg.listen, cfg.readiness]
+    http.bind = [cfg.listen, cfg.readiness, *([cfg.admin] if cfg.admin else [])]
     http.accesslog = http.errorlog = None
     http.backlog = BACKLOG
     http.keep_alive_max_requests = KEPT_REQUESTS
--- a/src/wisteriaworks/gateway/query.py
+++ b/src/wisteriaworks/gateway/query.py
@@ -5,10 +5,12 @@
 come in any more. No I/O.
 """
 
+import itertools
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
+from wisteriaworks.gateway.fetch import FetchTrace
 from wisteriaworks.gateway.model import ServerAnswer
 
 # Time kept back for the way to the caller: the merge, the write and one trip
@@ -16,6 +18,10 @@
 RETURN_MARGIN_S = 0.015
 
 
+# Services without an answer that an explanation names; more tell nothing new.
+EXPLAINED_SERVICES = 4
+
+
 class Reason(Enum):
     """Say why a request has no answer of a server."""
 
@@ -39,6 +45,7 @@
 
     parts: tuple[ServerAnswer, ...]
     missing: int
+    causes: tuple[FetchTrace, ...] = field(default=(), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +54,7 @@
 
     reason: Reason
     may_have_run: bool
+    causes: tuple[FetchTrace, ...] = field(default=(), compare=False)
 
 
 Result = Single | Gathered | Unserved
@@ -76,8 +84,8 @@
 
     def find_next_time(self):
         """Return when ``note_time`` is due."""
-        hedges = (f.hedge_at for f in self.fetches.values() if not f.is_over)
-        return min(self._deadline_at, self._next_settle(), *hedges, math.inf)
+        fetches = (f.wake_at for f in self.fetches.values() if not f.is_over)
+        return min(self._deadline_at, self._next_settle(), *fetches, math.inf)
 
     def settle(self, now):
         """Return the result if there is one now, or None."""
@@ -93,7 +101,8 @@
         is_enough = len(parts) >= self._needed
         is_time = now >= min(self._settle_at, self._deadline_at)
         if is_enough and (open_count == 0 or is_time):
-            return Gathered(tuple(parts), missing)
+            causes = self._explain() if missing else ()
+            return Gathered(tuple(parts), missing, causes)
         if len(parts) + open_count < self._needed:
             return self._fail(self._find_reason())
         return self._fail(Reason.DEADLINE) if now >= self._deadline_at else None
@@ -112,9 +121,18 @@
 
     def _fail(self, reason):
         fetches = self.fetches.values()
-        # A fetch that is under way may have been read by its server.
-        may_have_run = any(f.may_have_run or not f.is_over for f in fetches)
-        return Unserved(reason, may_have_run)
+        # A send that is under way may have been read by its server.
+        may_have_run = any(f.may_have_run or f.is_running for f in fetches)
+        return Unserved(reason, may_have_run, self._explain())
+
+    def _explain(self):
+        """Return what is known of the first services without a part."""
+        missing = (
+            fetch.trace()
+            for fetch in self.fetches.values()
+            if fetch.answer is None or not fetch.answer.is_success
+        )
+        return tuple(itertools.islice(missing, EXPLAINED_SERVICES))
 
     def _find_reason(self):
         fetches = self.fetches.values()
--- /dev/null
+++ b/src/wisteriaworks/gateway/request_log.py
@@ -0,0 +1,109 @@
+"""Explain requests: one line for each that failed, some of those that did not.
+
+Lines carry the request's id, what decided its outcome, and how old that was.
+"""
+
+import math
+
+import trio
+
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.log_limit import LogLimiter
+
+# One of this many complete answers gets a line.
+SAMPLED_ONE_IN = 200
+LEFT_OUT_INTERVAL_S = 1.0
+
+
+class RequestLog:
+    """Write the lines and counts of one gateway's requests."""
+
+    def __init__(self, state, metrics, rng):
+        self._state = state
+        self._rng = rng
+        self._limiter = LogLimiter()
+        self._requests = metrics.create_counter(
+            "wisteria.gateway.requests", "Requests by route, outcome and reason"
+        )
+        self._durations = metrics.create_histogram(
+            "wisteria.gateway.request.duration", "Time from a request to its answer"
+        )
+        self._missing = metrics.create_counter(
+            "wisteria.gateway.shards.missing", "Shards missing from answers by route"
+        )
+
+    async def run(self):
+        """Write the number of lines that were left out, every second."""
+        while True:
+            await trio.sleep(LEFT_OUT_INTERVAL_S)
+            for event, count in self._limiter.take_left_out().items():
+                log_event(Event.LINES_LEFT_OUT, of_event=event, count=count)
+
+    def note_answer(self, route, request, status, arrived_at):
+        """Note a complete answer, or a server's own failure."""
+        self._count(route, "answered", "", arrived_at)
+        if self._rng.random() * SAMPLED_ONE_IN < 1:
+            fields = self._describe(route, request, arrived_at)
+            log_event(
+                Event.REQUEST_SERVED, **fields, status=status, one_in=SAMPLED_ONE_IN
+            )
+
+    def note_partial(self, route, request, missing, causes, arrived_at):
+        """Note an answer that lacks shards."""
+        self._count(route, "partial", "", arrived_at)
+        self._missing.add(missing, {"route": route.name})
+        self._write(
+            Event.ANSWER_PARTIAL, route, request, arrived_at, missing, causes=causes
+        )
+
+    def note_unserved(self, route, request, result, kind, arrived_at):
+        """Note a request that was refused or given up."""
+        self._count(route, "unserved", kind.value, arrived_at)
+        self._write(
+            Event.REQUEST_UNSERVED,
+            route,
+            request,
+            arrived_at,
+            kind=kind.value,
+            reason=result.reason.value,
+            may_have_run=result.may_have_run,
+            causes=result.causes,
+        )
+
+    def note_refused(self, kind, request, arrived_at):
+        """Note a request that was refused before it had a route."""
+        self._count(None, "refused", kind.value, arrived_at)
+        self._write(Event.REQUEST_REFUSED, None, request, arrived_at, kind=kind.value)
+
+    def note_gone(self, route, request, arrived_at):
+        """Note a caller that closed its connection before its answer."""
+        self._count(route, "caller_gone", "", arrived_at)
+        self._write(Event.CALLER_GONE, route, request, arrived_at)
+
+    def _write(self, event, route, request, arrived_at, missing=None, **fields):
+        if not self._limiter.admit(event.value.number, trio.current_time()):
+            return
+        if missing is not None:
+            fields["missing"] = missing
+        log_event(event, **self._describe(route, request, arrived_at), **fields)
+
+    def _describe(self, route, request, arrived_at):
+        now = trio.current_time()
+        fields = {
+            "request": request.id.decode("latin-1") if request else "",
+            "route": route.name if route else "",
+            "waited_ms": round((now - arrived_at) * 1000),
+            "version": self._state.routes.version,
+        }
+        if math.isfinite(self._state.updated_at):
+            # How old the news of the leader is that the decisions rest on.
+            fields["state_age_ms"] = round((now - self._state.updated_at) * 1000)
+        if request and math.isfinite(request.deadline_at):
+            fields["left_ms"] = round((request.deadline_at - now) * 1000)
+        return fields
+
+    def _count(self, route, outcome, reason, arrived_at):
+        name = route.name if route else ""
+        self._requests.add(1, {"route": name, "outcome": outcome, "reason": reason})
+        elapsed_ms = (trio.current_time() - arrived_at) * 1000
+        self._durations.record(elapsed_ms, {"route": name, "outcome": outcome})
--- a/src/wisteriaworks/gateway/server_stats.py
+++ b/src/wisteriaworks/gateway/server_stats.py
@@ -2,7 +2,10 @@
 
 Load patterns: one server of a service is several times slower than the other,
 fails part of its requests while its health answer is good, or pauses for a
-moment while requests wait on it.
+moment while requests wait on it. Routes with different work share a server, so
+its speed is kept as a factor of what is typical for the route. Many gateways
+with little traffic each would open a connection for almost every send, so a
+server with an open connection is preferred a little.
 """
 
 import math
@@ -10,8 +13,11 @@
 
 # Weight of one observation in the moving averages; about the last ten count.
 AVERAGE_WEIGHT = 0.2
-# Time assumed of a server without observations, in seconds.
+# Time taken as typical where a route has no observations, in seconds.
 START_S = 0.02
+# What was observed of a server counts less by and by, so that one that has
+# recovered gets work again. Slow times and failures of a cause last 4 to 10 s.
+FORGET_S = 4.0
 # A success rate below this is not distinguished any further.
 LEAST_SUCCESS = 0.05
 # After this many failures in a row a server is avoided. One that does not
@@ -31,8 +37,10 @@
 
 @dataclass(slots=True)
 class _Stats:
-    time_s: float = START_S
+    # Time of its answers as a factor of what is typical for their routes.
+    slowness: float = 1.0
     success: float = 1.0
+    observed_at: float = -math.inf
     failures_in_row: int = 0
     avoided_until: float = -math.inf
     # Attempt key to the time at which it was sent.
@@ -46,37 +54,46 @@
         self._domain = domain
         self._rng = rng
         self._stats = {}
+        # Seconds that a send of ``work_s`` waits for a connection to a server.
+        self.estimate_wait = lambda server_id, work_s, now: 0.0
 
     def begin(self, server_id, attempt, now):
         """Note a request that was handed to a server."""
         self._find(server_id).waiting[attempt] = now
 
-    def succeed(self, server_id, attempt, now):
-        """Note an answer."""
-        stats = self._find(server_id)
+    def succeed(self, server_id, attempt, now, typical_s=START_S):
+        """Note an answer; ``typical_s`` is usual on its route."""
+        stats = self._refresh(server_id, now)
         began = stats.waiting.pop(attempt, now)
-        stats.time_s += AVERAGE_WEIGHT * (now - began - stats.time_s)
+        factor = (now - began) / typical_s
+        stats.slowness += AVERAGE_WEIGHT * (factor - stats.slowness)
         stats.success += AVERAGE_WEIGHT * (1.0 - stats.success)
         stats.failures_in_row = 0
 
     def fail(self, server_id, attempt, now, is_silent=False):
-        """Note a failure; ``is_silent`` if there was no answer at all."""
-        stats = self._find(server_id)
+        """Note a failure; ``is_silent`` if there was no answer at all.
+
+        Return for how many seconds the server is avoided.
+        """
+        stats = self._refresh(server_id, now)
         stats.waiting.pop(attempt, None)
         stats.success -= AVERAGE_WEIGHT * stats.success
         stats.failures_in_row += FAILURES_TO_AVOID if is_silent else 1
         over = stats.failures_in_row - FAILURES_TO_AVOID
-        if over >= 0:
-            pause = min(AVOID_LONGEST_S, AVOID_FIRST_S * 2**over)
-            stats.avoided_until = now + pause * self._rng.uniform(0.75, 1.25)
-
-    def refuse(self, server_id, attempt):
+        if over < 0:
+            return 0.0
+        pause_s = min(AVOID_LONGEST_S, AVOID_FIRST_S * 2**over)
+        pause_s *= self._rng.uniform(0.75, 1.25)
+        stats.avoided_until = now + pause_s
+        return pause_s
+
+    def refuse(self, server_id, attempt, now):
         """Note that the server did not run a request.
 
         It lowers the share of successes and so the choice of the server, but
         never makes it avoided, since a full server frees a slot soon.
         """
-        stats = self._find(server_id)
+        stats = self._refresh(server_id, now)
         stats.waiting.pop(attempt, None)
         stats.success -= AVERAGE_WEIGHT * stats.success
 
@@ -92,32 +109,48 @@
         """Say whether the server failed several times just now."""
         return now < self._find(server_id).avoided_until
 
-    def choose(self, servers, now):
-        """Return the server that most likely answers first, or None."""
+    def choose(self, servers, now, typical_s=START_S):
+        """Return the server that most likely answers first, or None.
+
+        ``typical_s`` is the usual time of an answer on the route.
+        """
         if not servers:
             return None
         if len(servers) > 1:
             good = [s for s in servers if not self.is_avoided(s.id, now)]
             servers = good or servers
-        return min(servers, key=lambda server: self._score(server, now))
+        return min(servers, key=lambda server: self._score(server, now, typical_s))
 
-    def _score(self, server, now):
+    def _score(self, server, now, typical_s):
         stats = self._find(server.id)
-        score = (1 + len(stats.waiting) / max(1, server.listed.slots)) * stats.time_s
-        score /= max(LEAST_SUCCESS, stats.success) ** 2
+        kept = math.exp((stats.observed_at - now) / FORGET_S)
+        work_s = typical_s * (1 + (stats.slowness - 1) * kept)
+        success = 1 + (stats.success - 1) * kept
+        score = (1 + len(stats.waiting) / max(1, server.listed.slots)) * work_s
+        score += self.estimate_wait(server.id, work_s, now)
+        score /= max(LEAST_SUCCESS, success) ** 2
         if server.listed.domain != self._domain:
             score *= OTHER_DOMAIN_PENALTY
         if server.is_cold(now):
             score *= COLD_PENALTY
-        if self._is_stalled(stats, now):
+        if self._is_stalled(stats, now, work_s):
             score *= STALLED_PENALTY
         return score * self._rng.uniform(0.8, 1.2)
 
-    def _is_stalled(self, stats, now):
+    def _is_stalled(self, stats, now, work_s):
         if not stats.waiting:
             return False
         oldest = next(iter(stats.waiting.values()))
-        return now - oldest > STALLED_FACTOR * stats.time_s
+        return now - oldest > STALLED_FACTOR * work_s
+
+    def _refresh(self, server_id, now):
+        """Return the statistics of a server, aged up to now."""
+        stats = self._find(server_id)
+        kept = math.exp((stats.observed_at - now) / FORGET_S)
+        stats.slowness = 1 + (stats.slowness - 1) * kept
+        stats.success = 1 + (stats.success - 1) * kept
+        stats.observed_at = now
+        return stats
 
     def _find(self, server_id):
         stats = self._stats.get(server_id)
--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -21,6 +21,9 @@
 # A connect takes one round trip and up to 6 ms at the servers; a lost opening
 # packet is sent again only after a second.
 CONNECT_TIMEOUT_S = 0.4
+# What a new connection costs before its first request: up to 6 ms at the server
+# and a round trip.
+NEW_CONNECTION_S = 0.008
 # A connection whose peer does not acknowledge bytes for this long is closed
 # by the system.
 UNACKNOWLEDGED_MS = 2000
@@ -180,13 +183,24 @@
         self._connecting = 0
         self._waiting = deque()
         self._refused_until = 0.0
-        self.opened = 0
 
     @property
     def size(self):
         """Return the number of connections, open or being opened."""
         return len(self._open) + self._connecting
 
+    def estimate_wait(self, work_s, now):
+        """Return about how many seconds a request waits for a connection.
+
+        ``work_s`` is the time of one answer.
+        """
+        if self._idle and self._idle[-1].is_fresh(now):
+            return 0.0
+        if self.size < self.limit:
+            return NEW_CONNECTION_S
+        # Half of the answers that are under way are still to come.
+        return work_s * (0.5 + len(self._waiting) / max(1, self.limit))
+
     def submit(self, exchange):
         """Send a request now, or as soon as a connection is free."""
         now = trio.current_time()
@@ -260,7 +274,6 @@
             self._refused_until = trio.current_time() + CONNECT_PAUSE_S
             self._fail_waiting()
             return
-        self.opened += 1
         conn = _Connection(sock, self)
         self._open.add(conn)
         self.put_back(conn)
--- /dev/null
+++ b/src/wisteriaworks/log_limit.py
@@ -0,0 +1,36 @@
+"""Bound how many lines a second an event writes, and count what is left out.
+
+Load pattern: thousands of requests fail in the same second, and a line for each
+would cost more than the requests.
+"""
+
+# Enough to see each cause; a gateway serves tens to hundreds of requests a second.
+LINES_PER_S = 20
+
+
+class LogLimiter:
+    """Decide which lines of each kind are written."""
+
+    def __init__(self, lines_per_s=LINES_PER_S):
+        self._lines_per_s = lines_per_s
+        self._second = -1
+        self._written = {}
+        self._left_out = {}
+
+    def admit(self, kind, now):
+        """Say whether one more line of a kind is written."""
+        second = int(now)
+        if second != self._second:
+            self._second = second
+            self._written = {}
+        written = self._written.get(kind, 0)
+        if written >= self._lines_per_s:
+            self._left_out[kind] = self._left_out.get(kind, 0) + 1
+            return False
+        self._written[kind] = written + 1
+        return True
+
+    def take_left_out(self):
+        """Return the number of lines left out by kind since the last call."""
+        left_out, self._left_out = self._left_out, {}
+        return left_out
--- a/src/wisteriaworks/orders.py
+++ b/src/wisteriaworks/orders.py
@@ -60,12 +60,16 @@
         await self._call(OrderDomain(domain=domain, out=out))
 
     async def _call(self, message):
+        reason = ""
         try:
             reply = await self._client.call(message, ORDER_TIMEOUT_S)
+            reason = reply.unavailable
         except ControlError as exc:
-            raise UnavailableError(exc.message) from exc
-        if reply.unavailable:
-            raise UnavailableError(reply.unavailable)
+            reason = exc.message
+        if reason:
+            call = type(message).__name__
+            log_event(Event.ORDER_NOT_TAKEN, call=call, reason=reason)
+            raise UnavailableError(reason)
         return reply
 
 
--- a/src/wisteriaworks/platform/operator_api.py
+++ b/src/wisteriaworks/platform/operator_api.py
@@ -2,6 +2,7 @@
 
 from wisteriaworks.asgi import read_body, run_lifespan, send_response
 from wisteriaworks.errors import DocumentError, RequestError
+from wisteriaworks.events import Event, log_event
 from wisteriaworks.orders import UnavailableError
 from wisteriaworks.platform.config_format import read_configuration
 
@@ -46,6 +47,7 @@
         try:
             change = read_configuration(body)
         except DocumentError as exc:
+            log_event(Event.CONFIGURATION_REFUSED, reason=exc.message)
             return 400, exc.message.encode()
         await self._orders.propose(change.version, change.document, body)
         return 200, b"{}"
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,5 +1,7 @@
 """Guard against events that the catalogue does not list, and reused numbers."""
 
+import sys
+import threading
 from pathlib import Path
 
 import msgspec
@@ -7,7 +9,8 @@
 
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.settings import LogSettings
-from wisteriaworks.logs import configure_logs
+from wisteriaworks.log_limit import LogLimiter
+from wisteriaworks.logs import BoundedWriter, configure_logs
 
 CATALOGUE = Path(__file__).resolve().parent.parent / "docs" / "events.md"
 
@@ -28,6 +31,51 @@
     assert len({event.value.number for event in Event}) == len(list(Event))
 
 
+class BlockedStream:
+    """Accept nothing until it is released, as a pipe that nobody reads."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.entered = threading.Event()
+        self.text = ""
+
+    def write(self, text):
+        self.entered.set()
+        self.released.wait()
+        self.text += text
+
+    def flush(self):
+        pass
+
+
+def test_slow_reader_costs_lines_and_no_time(monkeypatch):
+    """A request must not wait for a log that nobody reads."""
+    stream = BlockedStream()
+    monkeypatch.setattr(sys, "stderr", stream)
+    writer = BoundedWriter(None, lambda count: f"dropped {count}\n", max_lines=10)
+    writer.write("first\n")
+    stream.entered.wait()
+    for number in range(25):
+        writer.write(f"{number}\n")
+    stream.released.set()
+    writer.stop()
+    lines = stream.text.split()
+    assert lines[0] == "first"
+    assert lines[1:11] == [str(number) for number in range(10)]
+    assert lines[11:] == ["dropped", "15"]
+
+
+def test_lines_over_the_bound_are_counted():
+    """A count of what was left out is a line itself, so failures never vanish."""
+    limiter = LogLimiter(lines_per_s=3)
+    admitted = [limiter.admit(704, 1.0 + number / 100) for number in range(10)]
+    assert admitted == [True] * 3 + [False] * 7
+    assert limiter.admit(705, 1.5)
+    assert limiter.take_left_out() == {704: 7}
+    assert limiter.take_left_out() == {}
+    assert limiter.admit(704, 2.0)
+
+
 def test_a_line_is_one_json_object_with_the_number(tmp_path):
     path = tmp_path / "log"
     configure_logs(LogSettings(file=str(path)), "wisteria-entry", "e1")
