Explain requests from the logs of several processes, with three walks

Cause: an engineer on call had only the lines of one gateway, and the clocks of VMs differ by seconds at times.

A member that starts writes one line on its members instead of one for each entry of its log.

--- a/src/wisteriaworks/cli_report.py
+++ b/src/wisteriaworks/cli_report.py
@@ -1,5 +1,6 @@
 """The commands ``wisteria report burn`` and ``wisteria explain``."""
 
+import sys
 from pathlib import Path
 
 import trio
@@ -12,6 +13,12 @@
 from wisteriaworks.entry_reports import read_reports
 from wisteriaworks.errors import EntryError, SettingsError
 from wisteriaworks.generated.reports import BurnReport, Explanation
+from wisteriaworks.log_explain import (
+    align_clocks,
+    explain_request,
+    read_lines,
+    render_line,
+)
 
 _ENTRY_OPTION = option(
     "entry",
@@ -62,11 +69,40 @@
 class ExplainCommand(_EntryCommand):
     name = "explain"
     description = "Show how a request was answered, shard by shard."
-    arguments = (argument("request_id", description="Request id, a UUIDv7."),)
-    options = (_ENTRY_OPTION,)
+    arguments = (
+        argument("request_id", description="Request id; with --entry a UUIDv7."),
+    )
+    options = (
+        _ENTRY_OPTION,
+        option(
+            "logs",
+            description="Log files FILE[,FILE...] of any processes, - for standard "
+            "input; their lines are put in one order.",
+            flag=False,
+        ),
+    )
 
     def handle(self):
-        """Print each entry's explanation. Raises EntryError without any."""
+        """Print what explains a request. Raises EntryError if nothing does."""
+        if self.option("logs"):
+            self._explain_from_logs(self.argument("request_id"))
+        else:
+            self._explain_from_entries()
+
+    def _explain_from_logs(self, request_id):
+        texts = _read_texts(self.option("logs"))
+        lines = align_clocks(read_lines(texts))
+        found = explain_request(lines, request_id)
+        if not found:
+            raise EntryError(
+                f"request {request_id}: none of {len(lines)} log lines names it; "
+                "complete answers are sampled, and lines over the bound are left out"
+            )
+        own = [line for line in found if line.fields.get("request") == request_id]
+        for line in found:
+            self.write_text(render_line(line, own[0].at))
+
+    def _explain_from_entries(self):
         request_id = _parse_request_id(self.argument("request_id"))
         replies = self.read_reports(f"/v1/explain/{request_id}", Explanation)
         found = [reply.report for reply in replies if reply.report]
@@ -107,6 +143,21 @@
     )
 
 
+def _read_texts(option_text):
+    """Return the lines of some files. Raises SettingsError."""
+    texts = []
+    for name in option_text.split(","):
+        try:
+            if name == "-":
+                texts += sys.stdin.read().splitlines()
+            else:
+                path = Path(name)
+                texts += path.read_text(encoding="utf-8", errors="replace").splitlines()
+        except OSError as exc:
+            raise SettingsError(f"cannot read {name}: {exc.strerror}") from exc
+    return texts
+
+
 def _parse_request_id(text):
     try:
         return str(uuid_utils.UUID(text))
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -63,7 +63,7 @@
     PLATFORM_UNREADABLE = _Spec(511, "WARNING", "list of VMs cannot be read")
     DOMAIN_ORDERED = _Spec(512, "INFO", "failure domain ordered out or back")
     CONFIGURATION_REFUSED = _Spec(513, "WARNING", "configuration refused as not valid")
-    ORDER_NOT_TAKEN = _Spec(514, "WARNING", "order or read not taken: no leader")
+    ORDER_NOT_TAKEN = _Spec(514, "WARNING", "order or read not taken")
     # 6xx: console
     OPERATOR_SIGNED_IN = _Spec(601, "INFO", "operator signed in")
     SIGN_IN_REFUSED = _Spec(602, "WARNING", "sign-in refused")
--- a/src/wisteriaworks/member_state.py
+++ b/src/wisteriaworks/member_state.py
@@ -167,10 +167,12 @@
         self.effects += [SendMessage(to, message) for _, to, message in ready]
 
     def _learn_members(self, entries):
-        for entry in entries:
-            if entry.kind is EntryKind.MEMBERS:
-                self.membership.add(entry.index, decode_members(entry.data))
-                self.effects.append(MembersChanged(self.membership.members))
+        changes = [entry for entry in entries if entry.kind is EntryKind.MEMBERS]
+        for entry in changes:
+            self.membership.add(entry.index, decode_members(entry.data))
+        # One effect for all, since a member that starts reads its whole log.
+        if changes:
+            self.effects.append(MembersChanged(self.membership.members))
 
     def _request_snapshot(self):
         taken = self.snapshot.last_index if self.snapshot else 0
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -39,6 +39,10 @@
         self.address = ""
         self.state = "ready"
         self.delay_s = 0.0
+        # Whether it states that it does not run requests, or breaks off instead
+        # of answering.
+        self.refuses = False
+        self.breaks_off = False
         self.ran = []
 
     def describe(self):
@@ -61,23 +65,32 @@
             buffer += data
             while b"\r\n\r\n" in buffer:
                 head, _, buffer = buffer.partition(b"\r\n\r\n")
-                await self._answer(stream, head)
+                if not await self._answer(stream, head):
+                    return
 
     async def _answer(self, stream, head):
+        """Answer one request and return whether the connection goes on."""
         lines = head.decode().split("\r\n")
         headers = dict(line.split(": ", 1) for line in lines[1:])
         request_id = headers["x-wisteriaworks-request-id"]
         head = f"X-Wisteriaworks-Request-Id: {request_id}\r\n"
         if headers["x-wisteriaworks-expected-instance"] != self.id:
             status = "421 X"
+        elif self.refuses:
+            status = "503 X"
+            head += "X-Wisteriaworks-Not-Executed: 1\r\n"
         else:
             status = "200 OK"
             self.ran.append(request_id)
             await trio.sleep(self.delay_s)
+            if self.breaks_off:
+                await stream.aclose()
+                return False
             head += f"X-Wisteriaworks-Server-Stamp: {self.id}.{request_id}\r\n"
         body = struct.pack(">QQ", len(self.ran), int(self.id[1:])) * 2
         head = f"HTTP/1.1 {status}\r\n{head}Content-Length: {len(body)}\r\n\r\n"
         await stream.send_all(head.encode() + body)
+        return True
 
 
 class _List:
@@ -116,19 +129,23 @@
 
     async def start(self):
         """Start everything, with empty disks and no operator."""
+        await self.start_servers()
+        for host in self.hosts:
+            await self.start_control(host, found=True)
+        for number in range(len(self._gateway_ports) // 2):
+            await self._start_gateway(number)
+
+    async def start_servers(self):
+        """Start the servers and the platform's list."""
         for server in self.servers:
             serve = functools.partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1")
             (listener,) = await self._nursery.start(serve)
             server.address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
         await self._nursery.start(serve_http, _List(self.servers), self._list)
-        for host in self.hosts:
-            await self.start_control(host, found=True)
-        for number in range(len(self._gateway_ports) // 2):
-            await self._start_gateway(number)
 
-    async def start_control(self, host, found=False):
-        """Start one control member, which runs until ``stop_control``."""
-        cfg = ControlSettings(
+    def make_control_settings(self, host, found=False):
+        """Return the settings of one control member."""
+        return ControlSettings(
             name=f"c-{host}",
             domain="a",
             address=f"{host}:{self._ports[0]}",
@@ -143,6 +160,10 @@
                 list_interval_s=0.2,
             ),
         )
+
+    async def start_control(self, host, found=False):
+        """Start one control member, which runs until ``stop_control``."""
+        cfg = self.make_control_settings(host, found)
         found_group(cfg)
         program = ControlProgram(cfg, create_unexported_metrics())
         await self._nursery.start(self._run, host, program)
@@ -158,9 +179,11 @@
         with scope:
             await program.run(task_status=task_status)
 
-    async def _start_gateway(self, number):
+    def make_gateway_settings(self, number, admin=None):
+        """Return the settings of one gateway."""
         front, readiness = self._gateway_ports[2 * number : 2 * number + 2]
-        cfg = GatewaySettings(
+        return GatewaySettings(
+            admin=admin,
             name=f"g{number}",
             domain="a",
             listen=f"127.0.0.1:{front}",
@@ -171,15 +194,19 @@
             balancer_lag_s=0.2,
             budget=BudgetSettings(retry_ratio=1.0, slack=100.0),
         )
-        program = GatewayProgram(cfg)
+
+    async def _start_gateway(self, number):
+        program = GatewayProgram(self.make_gateway_settings(number))
         await self._nursery.start(program.run)
         self.gateways.append(program)
 
-    async def call(self, method, path, body=b"", gateway=0, deadline_ms=5000):
+    async def call(
+        self, method, path, body=b"", gateway=0, deadline_ms=5000, request_id=None
+    ):
         """Send a request to a gateway; return status, headers and body."""
         headers = {
             "host": HOST,
-            "x-wisteriaworks-request-id": f"r{next(self._numbers)}",
+            "x-wisteriaworks-request-id": request_id or f"r{next(self._numbers)}",
             "x-wisteriaworks-deadline-ms": str(deadline_ms),
         }
         address = f"127.0.0.1:{self._gateway_ports[2 * gateway]}"
--- a/tests/test_cli_report.py
+++ b/tests/test_cli_report.py
@@ -86,6 +86,8 @@
         (["explain", REQUEST_ID, *ENTRIES], 10),
         (["explain", "../metrics", *ENTRIES], 2),
         (["explain", REQUEST_ID], 2),
+        (["explain", REQUEST_ID, "--logs", "/no/such/file"], 2),
+        (["explain", REQUEST_ID, "--logs", "/dev/null"], 10),
         (["report", "burn", "--entry", "e1"], 2),
         (["report", "burn", *ENTRIES, "--html", "/no/such/folder/x"], 2),
     ],
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,7 +12,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 PAGES = [*ROOT.glob("*.md"), *(ROOT / "docs").glob("*.md")]
-OPERATIONS = (ROOT / "docs" / "operations.md").read_text()
+OPERATIONS = (ROOT / "docs" / "OPERATIONS.md").read_text()
 
 
 def _list_commands(path):
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -18,7 +18,7 @@
         "document.yaml",
         "One YAML document configures the whole system; `Document` is its root. "
         "Operators change it with `wisteria config apply`, see "
-        "[operations.md](operations.md). `wisteria config check` also applies the "
+        "[OPERATIONS.md](OPERATIONS.md). `wisteria config check` also applies the "
         "rules that span fields: references, uniqueness, keyed searches and replica "
         "sets.",
     ),
