Hand queries to many shards to gateways with better links

Change: gateways tell the leader their link, the leader names those with a link four times as fast as the slowest, and a gateway hands a query over if its answers would take a tenth of the objective. The delegate returns the merged answer over the project's own messages. A query that was handed over is never run twice: if the delegate is lost it is answered as unknown, if it declines or cannot be reached the query runs here. Where all links are equal nothing is handed over.

--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -6,9 +6,13 @@
 
 from wisteriaworks.asgi import read_body, run_lifespan
 from wisteriaworks.errors import ERROR_ANSWERS, ErrorKind, RequestError, RunState
+from wisteriaworks.gateway.delegate_client import DelegateLostError
+from wisteriaworks.gateway.fetch import FetchTrace
+from wisteriaworks.gateway.model import CallerRequest
 from wisteriaworks.gateway.query import Gathered, Reason, Single, Unserved
 from wisteriaworks.gateway.records import merge_greatest
 from wisteriaworks.gateway.route_index import ServiceRotation
+from wisteriaworks.generated.messages import HandedAnswer
 
 # A refused caller comes back spread over this span, after a server can have
 # been replaced in the list or a connection opened.
@@ -23,6 +27,7 @@
     Reason.BROKEN: ErrorKind.OUTCOME_UNKNOWN,
     Reason.DEADLINE: ErrorKind.DEADLINE_EXCEEDED,
     Reason.COVERAGE: ErrorKind.TOO_FEW_PARTS,
+    Reason.DELEGATE: ErrorKind.OUTCOME_UNKNOWN,
 }
 _CLOSE = (b"connection", b"close")
 _SUCCESS = 200
@@ -32,9 +37,12 @@
 class GatewayApp:
     """Serve one gateway as an ASGI app."""
 
-    def __init__(self, state, forwarder, wire, readiness_port, log, admin=None):
+    def __init__(
+        self, state, forwarder, wire, readiness_port, log, admin=None, delegates=None
+    ):
         self._state = state
         self._log = log
+        self._delegates = delegates
         self._forwarder = forwarder
         self._wire = wire
         self._readiness_port = readiness_port
@@ -99,7 +107,46 @@
             self._log.note_gone(route, request, arrived_at)
         return answer
 
+    async def handle_handed_query(self, message, send):
+        """Run a query of another gateway, as a handler of RpcServer."""
+        routes = self._state.routes
+        path = message.target.split(b"?", 1)[0].decode("latin-1")
+        route = routes.find(message.host, path)
+        if not self.is_ready or route is None or not route.shards:
+            return HandedAnswer(taken=False)
+        now = trio.current_time()
+        request = CallerRequest(
+            method=message.method,
+            target=message.target,
+            host=message.host,
+            headers=message.headers,
+            body=message.body,
+            id=message.id,
+            deadline_at=now + message.left_ms / 1000,
+        )
+        self.running += 1
+        try:
+            status, headers, body = await self._run(request, route, routes, now)
+        finally:
+            self.running -= 1
+        return HandedAnswer(
+            taken=True, status=status, headers=tuple(headers), body=body
+        )
+
     async def _answer(self, request, route, routes, arrived_at):
+        if self._delegates is not None:
+            try:
+                handed = await self._delegates.ask(request, route, arrived_at)
+            except DelegateLostError as exc:
+                trace = FetchTrace("", (), str(exc), "")
+                result = Unserved(Reason.DELEGATE, may_have_run=True, causes=(trace,))
+                return self._make_answer(result, route, request, arrived_at)
+            if handed is not None:
+                self._log.note_handed(route, handed.status, arrived_at)
+                return handed.status, handed.headers, handed.body
+        return await self._run(request, route, routes, arrived_at)
+
+    async def _run(self, request, route, routes, arrived_at):
         services = route.shards or (self._rotation.choose(route),)
         result = await self._forwarder.run(
             request, route, services, routes.document, arrived_at
--- a/src/wisteriaworks/gateway/control_watch.py
+++ b/src/wisteriaworks/gateway/control_watch.py
@@ -112,7 +112,14 @@
     async def _follow(self, channel, search):
         """Return the address of the leader, if the member names another one."""
         version = self._state.routes.version
-        message = Watch(name=self._cfg.name, config_version=version)
+        cfg = self._cfg
+        message = Watch(
+            name=cfg.name,
+            config_version=version,
+            domain=cfg.domain,
+            peer=cfg.peer or "",
+            link_mbps=cfg.link_mbps,
+        )
         is_followed, hint = False, ""
         reason = "it does not lead any more"
         try:
--- a/src/wisteriaworks/gateway/fleet_state.py
+++ b/src/wisteriaworks/gateway/fleet_state.py
@@ -22,6 +22,8 @@
         self.routes = RouteIndex(Document(), 0)
         self.updated_at = -math.inf
         self._is_alone = False
+        # Called with the gateways that take queries of others.
+        self.on_delegates = lambda delegates: None
 
     @property
     def is_known(self):
@@ -41,6 +43,8 @@
             table.change(update.servers, update.removed, now)
             is_changed = True
         self._fleet.set_gateways(update.gateways, update.position)
+        if update.delegates is not None:
+            self.on_delegates(update.delegates)
         if is_changed:
             self._on_change(self.routes.document)
 
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -13,14 +13,17 @@
 from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.gateway.app import GatewayApp
 from wisteriaworks.gateway.control_watch import ControlWatch
+from wisteriaworks.gateway.delegate_client import DelegateClient
+from wisteriaworks.gateway.delegation import Delegation
 from wisteriaworks.gateway.fleet_state import FleetState
 from wisteriaworks.gateway.forwarder import Forwarder
 from wisteriaworks.gateway.request_log import RequestLog
+from wisteriaworks.generated.messages import HandedQuery
 from wisteriaworks.list_reader import ListFollower, ListReader
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.metrics import Metrics
 from wisteriaworks.platform import wire
-from wisteriaworks.rpc import split_address
+from wisteriaworks.rpc import RpcServer, split_address
 from wisteriaworks.settings_watch import SettingsWatch
 
 PROGRAM = "wisteria-gateway"
@@ -43,6 +46,7 @@
         self.app = None
         self._watch = None
         self._settings = None
+        self._peers = None
         self._was_ready = False
         self._created_at = 0.0
 
@@ -57,7 +61,12 @@
                 forwarder.fleet, functools.partial(self._note, forwarder)
             )
             log = RequestLog(state, metrics, random.Random())
-            self.app = self._make_app(state, forwarder, log, metrics)
+            delegation = Delegation(
+                cfg.name, cfg.domain, cfg.link_mbps, random.Random()
+            )
+            state.on_delegates = delegation.set_delegates
+            delegates = DelegateClient(delegation, nursery)
+            self.app = self._make_app(state, forwarder, log, metrics, delegates)
             self._observe(state, forwarder, metrics)
             self._watch = ControlWatch(cfg, state)
             self._settings = SettingsWatch(self._path, cfg, self._watch.use_seeds)
@@ -66,19 +75,23 @@
             nursery.start_soon(log.run)
             nursery.start_soon(self._read_list_alone, state)
             nursery.start_soon(self._settings.run)
+            if cfg.peer:
+                handlers = {HandedQuery: self.app.handle_handed_query}
+                self._peers = RpcServer(handlers, log_failure)
+                await nursery.start(self._peers.serve, cfg.peer)
             serving = functools.partial(serve, shutdown_trigger=self._stop.wait)
             await nursery.start(self._serve, serving)
             task_status.started()
             await trio.sleep_forever()
 
-    def _make_app(self, state, forwarder, log, metrics):
+    def _make_app(self, state, forwarder, log, metrics, delegates):
         admin = None
         if self._cfg.admin:
             is_ready = functools.partial(getattr, self, "is_ready")
             port = split_address(self._cfg.admin)[1]
             admin = (port, AdminApp(is_ready, metrics))
         readiness_port = split_address(self._cfg.readiness)[1]
-        return GatewayApp(state, forwarder, wire, readiness_port, log, admin)
+        return GatewayApp(state, forwarder, wire, readiness_port, log, admin, delegates)
 
     def _observe(self, state, forwarder, metrics):
         observe, fleet = metrics.observe, forwarder.fleet
@@ -124,6 +137,8 @@
     async def drain(self):
         """Leave the balancer, finish what runs, and close idle connections."""
         self.app.is_stopping = True
+        if self._peers is not None:
+            self._peers.announce_stop()
         await trio.sleep(self._cfg.balancer_lag_s)
         self._stop.set()
         while self.app.running:
--- a/src/wisteriaworks/gateway/query.py
+++ b/src/wisteriaworks/gateway/query.py
@@ -30,6 +30,7 @@
     BROKEN = "broken"
     DEADLINE = "deadline"
     COVERAGE = "coverage"
+    DELEGATE = "delegate"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisteriaworks/gateway/request_log.py
+++ b/src/wisteriaworks/gateway/request_log.py
@@ -48,6 +48,10 @@
                 Event.REQUEST_SERVED, **fields, status=status, one_in=SAMPLED_ONE_IN
             )
 
+    def note_handed(self, route, status, arrived_at):
+        """Note a query that another gateway answered; that one explains it."""
+        self._count(route, "handed_over", f"status_{status}", arrived_at)
+
     def note_partial(self, route, request, missing, causes, arrived_at):
         """Note an answer that lacks shards."""
         self._count(route, "partial", "", arrived_at)
--- a/src/wisteriaworks/orders.py
+++ b/src/wisteriaworks/orders.py
@@ -1,5 +1,6 @@
 """Operators' orders at any control member: passed to the leader, durable."""
 
+import msgspec
 import trio
 
 from wisteriaworks.errors import (
@@ -11,6 +12,7 @@
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.commands import RaiseConfiguration, SetDomain
 from wisteriaworks.generated.messages import (
+    Delegate,
     FleetUpdate,
     MembersReply,
     NotLeader,
@@ -27,6 +29,10 @@
 ORDER_TIMEOUT_S = 0.9
 # A gateway that hears nothing for three of these looks for another member.
 KEEPALIVE_S = 0.5
+# A gateway takes queries of others if its link is this many times as fast as
+# the slowest one; the list of them is bounded, as each gateway gets all of it.
+DELEGATE_FACTOR = 4.0
+MAX_DELEGATES = 32
 
 
 class UnavailableError(WisteriaError):
@@ -73,6 +79,19 @@
         return reply
 
 
+def choose_delegates(watches):
+    """Return the gateways whose links are several times as fast as others'."""
+    links = [watch.link_mbps for watch in watches if watch.link_mbps > 0]
+    least = DELEGATE_FACTOR * min(links, default=0.0)
+    able = {
+        watch.name: Delegate(watch.name, watch.peer, watch.domain, watch.link_mbps)
+        for watch in watches
+        if watch.peer and watch.link_mbps and watch.link_mbps >= least
+    }
+    fastest = sorted(able.values(), key=lambda d: (-d.link_mbps, d.name))
+    return tuple(fastest[:MAX_DELEGATES])
+
+
 class OrderService:
     """Handle orders and watches at one control member."""
 
@@ -80,8 +99,10 @@
         self._node = node
         self._directory = directory
         self._changed = trio.Event()
-        # Names of the gateways; one that connects again may be in twice.
+        # Those that watch; a gateway that connects again may be in twice.
         self._watches = []
+        self._names = []
+        self._delegates = ()
 
     def list_handlers(self):
         """Return the handler of each message type for ``RpcServer``."""
@@ -96,7 +117,12 @@
     @property
     def watching(self):
         """Return how many gateways follow this member."""
-        return len(set(self._watches))
+        return len(self._names)
+
+    def _note_watches(self):
+        # Kept, since each update of each gateway needs them.
+        self._names = sorted({watch.name for watch in self._watches})
+        self._delegates = choose_delegates(self._watches)
 
     def notify(self):
         """Wake the watches after a change."""
@@ -161,18 +187,23 @@
     async def _watch(self, message, send):
         """Send updates until this member stops to lead."""
         await self._wait_for_leader()
-        version, revision = message.config_version, 0
-        self._watches.append(message.name)
+        version, revision, delegates = message.config_version, 0, None
+        self._watches.append(message)
+        self._note_watches()
         self.notify()
         try:
             while self._node.replica.is_leader and not self._node.is_stopping:
                 update, revision = self._make_update(message.name, version, revision)
                 version = max(version, update.config_version)
+                if delegates != self._delegates:
+                    delegates = self._delegates
+                    update = msgspec.structs.replace(update, delegates=delegates)
                 send(update)
                 with trio.move_on_after(KEEPALIVE_S):
                     await self._changed.wait()
         finally:
-            self._watches.remove(message.name)
+            self._watches.remove(message)
+            self._note_watches()
         return self._name_leader()
 
     async def _wait_for_leader(self):
@@ -191,7 +222,7 @@
             document=machine.document if is_newer else None,
             domains_out=tuple(sorted(machine.domains_out)),
             gateways=max(machine.gateways, self.watching),
-            position=sorted(set(self._watches)).index(name),
+            position=self._names.index(name),
             list_read=changes.revision > 0,
             full=changes.full,
             servers=changes.servers,
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -113,13 +113,17 @@
 class StandInSystem:
     """Run control members and gateways in this process."""
 
-    def __init__(self, nursery, folder, servers, members=3, gateways=2):
+    def __init__(
+        self, nursery, folder, servers, members=3, gateways=2, links_mbps=(0.0, 0.0)
+    ):
         self._nursery = nursery
         self._folder = folder
         self.servers = servers
-        self._ports = find_free_ports(4 + 2 * gateways)
+        self._links_mbps = links_mbps
+        self._ports = find_free_ports(4 + 3 * gateways)
         self._list = f"127.0.0.1:{self._ports[3]}"
-        self._gateway_ports = self._ports[4:]
+        self._gateway_ports = self._ports[4 : 4 + 2 * gateways]
+        self._peer_ports = self._ports[4 + 2 * gateways :]
         self.hosts = [f"127.0.0.{n + 1}" for n in range(members)]
         self.seeds = tuple(f"{host}:{self._ports[1]}" for host in self.hosts[:3])
         self.scopes = {}
@@ -184,6 +188,8 @@
         front, readiness = self._gateway_ports[2 * number : 2 * number + 2]
         return GatewaySettings(
             admin=admin,
+            peer=f"127.0.0.1:{self._peer_ports[number]}",
+            link_mbps=self._links_mbps[number],
             name=f"g{number}",
             domain="a",
             listen=f"127.0.0.1:{front}",
--- /dev/null
+++ b/tests/platform_adapter/test_handed_queries.py
@@ -0,0 +1,120 @@
+"""Guard against handed queries that are lost, doubled or run for nobody."""
+
+import json
+
+import pytest
+import trio
+from platform_stand_in import StandInServer, StandInSystem
+from test_gateway_system import SHARDS, make_configuration
+
+# Three answers of 1,300 bytes take 312 ms on the first link.
+LINKS_MBPS = (0.1, 1000.0)
+NEAR, FAR = 0, 1
+
+
+def make_document():
+    document = json.loads(make_configuration(5))
+    for route in document["routes"]:
+        route["targetLatencyMs"] = 1000
+    return json.dumps(document).encode()
+
+
+@pytest.fixture
+async def system(nursery, tmp_path):
+    servers = [
+        StandInServer(f"i{10 * shard + n}", f"s{shard}", domain)
+        for shard in (1, 2, 3)
+        for n, domain in enumerate("ab")
+    ]
+    system = StandInSystem(nursery, tmp_path, servers, links_mbps=LINKS_MBPS)
+    await system.start()
+    assert (await system.order("PUT", "/api/config", make_document())).status == 200
+    for gateway in (NEAR, FAR):
+        await system.wait_until(lambda gateway=gateway: system.is_ready(gateway))
+    return system
+
+
+def count_sends(system, gateway):
+    """Return how many sends to servers a gateway has finished."""
+    sends = system.gateways[gateway].app._forwarder._sends.series
+    return sum(sends.values())
+
+
+async def wait_for_delegate(system):
+    async def is_handed():
+        before = count_sends(system, FAR)
+        await system.call("GET", "/shards/x", gateway=NEAR)
+        return count_sends(system, FAR) > before
+
+    await system.wait_until(is_handed)
+
+
+def count_runs(system, request_id):
+    return sum(server.ran.count(request_id) for server in system.servers)
+
+
+async def test_query_is_answered_whole_by_the_gateway_with_the_better_link(system):
+    await wait_for_delegate(system)
+    before = count_sends(system, NEAR)
+    reply = await system.call("GET", "/shards/x", gateway=NEAR, request_id="handed")
+    assert reply.status == 200
+    headers = {name.lower(): value for name, value in reply.headers}
+    assert len(headers[b"x-wisteriaworks-shard-stamps"].split(b", ")) == len(SHARDS)
+    assert headers[b"x-wisteriaworks-missing-shards"] == b"0"
+    assert len(reply.content) == 4 * 16
+    assert count_sends(system, NEAR) == before
+    assert count_runs(system, "handed") == len(SHARDS)
+
+
+async def test_other_requests_stay(system):
+    await wait_for_delegate(system)
+    before = count_sends(system, NEAR)
+    assert (await system.call("GET", "/once/x", gateway=NEAR)).status == 200
+    assert count_sends(system, NEAR) == before + 1
+
+
+async def test_query_runs_here_when_the_delegate_stops(system):
+    await wait_for_delegate(system)
+    system.gateways[FAR].app.is_stopping = True
+    reply = await system.call("GET", "/shards/x", gateway=NEAR, request_id="kept")
+    assert reply.status == 200
+    assert count_runs(system, "kept") == len(SHARDS)
+
+
+async def test_caller_that_leaves_ends_the_query_at_the_delegate(system):
+    await wait_for_delegate(system)
+    for server in system.servers:
+        server.delay_s = 60.0
+    with trio.move_on_after(0.5):
+        await system.call("GET", "/shards/x", gateway=NEAR, deadline_ms=60000)
+    for gateway in (NEAR, FAR):
+        app = system.gateways[gateway].app
+
+        async def is_idle(app=app):
+            return app.running == 0
+
+        await system.wait_until(is_idle)
+
+
+async def test_lost_delegate_is_answered_as_unknown_and_not_run_again(system):
+    """Its servers may have begun, so no status may promise "not run"."""
+    await wait_for_delegate(system)
+    for server in system.servers:
+        server.delay_s = 60.0
+    statuses = []
+
+    async def call():
+        reply = await system.call(
+            "GET", "/shards/x", gateway=NEAR, request_id="lost", deadline_ms=60000
+        )
+        statuses.append(reply.status)
+
+    async with trio.open_nursery() as calls:
+        calls.start_soon(call)
+        while count_runs(system, "lost") < len(SHARDS):
+            await trio.sleep(0.01)
+        runs = count_runs(system, "lost")
+        for served in tuple(system.gateways[FAR]._peers._open):
+            await trio.aclose_forcefully(served._stream)
+    assert statuses == [502]
+    assert count_runs(system, "lost") == runs
