--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -39,6 +39,10 @@
         self.address = ""
         self.state = "ready"
         self.delay_s = 0.0
+        # Whether it states that it does not run requests, or breaks off instead
+        # of answering.
+        self.refuses = False
+        self.breaks_off = False
         self.ran = []
 
     def describe(self):
@@ -61,23 +65,32 @@
             buffer += data
             while b"\r\n\r\n" in buffer:
                 head, _, buffer = buffer.partition(b"\r\n\r\n")
-                await self._answer(stream, head)
+                if not await self._answer(stream, head):
+                    return
 
     async def _answer(self, stream, head):
+        """Answer one request and return whether the connection goes on."""
         lines = head.decode().split("\r\n")
         headers = dict(line.split(": ", 1) for line in lines[1:])
         request_id = headers["x-wisteriaworks-request-id"]
         head = f"X-Wisteriaworks-Request-Id: {request_id}\r\n"
         if headers["x-wisteriaworks-expected-instance"] != self.id:
             status = "421 X"
+        elif self.refuses:
+            status = "503 X"
+            head += "X-Wisteriaworks-Not-Executed: 1\r\n"
         else:
             status = "200 OK"
             self.ran.append(request_id)
             await trio.sleep(self.delay_s)
+            if self.breaks_off:
+                await stream.aclose()
+                return False
             head += f"X-Wisteriaworks-Server-Stamp: {self.id}.{request_id}\r\n"
         body = struct.pack(">QQ", len(self.ran), int(self.id[1:])) * 2
         head = f"HTTP/1.1 {status}\r\n{head}Content-Length: {len(body)}\r\n\r\n"
         await stream.send_all(head.encode() + body)
+        return True
 
 
 class _List:
@@ -100,13 +113,17 @@
 class StandInSystem:
     """Run control members and gateways in this process."""
 
-    def __init__(self, nursery, folder, servers, members=3, gateways=2):
+    def __init__(
+        self, nursery, folder, servers, members=3, gateways=2, links_mbps=(0.0, 0.0)
+    ):
         self._nursery = nursery
         self._folder = folder
         self.servers = servers
-        self._ports = find_free_ports(4 + 2 * gateways)
+        self._links_mbps = links_mbps
+        self._ports = find_free_ports(4 + 3 * gateways)
         self._list = f"127.0.0.1:{self._ports[3]}"
-        self._gateway_ports = self._ports[4:]
+        self._gateway_ports = self._ports[4 : 4 + 2 * gateways]
+        self._peer_ports = self._ports[4 + 2 * gateways :]
         self.hosts = [f"127.0.0.{n + 1}" for n in range(members)]
         self.seeds = tuple(f"{host}:{self._ports[1]}" for host in self.hosts[:3])
         self.scopes = {}
@@ -116,19 +133,23 @@
 
     async def start(self):
         """Start everything, with empty disks and no operator."""
+        await self.start_servers()
+        for host in self.hosts:
+            await self.start_control(host, found=True)
+        for number in range(len(self._gateway_ports) // 2):
+            await self._start_gateway(number)
+
+    async def start_servers(self):
+        """Start the servers and the platform's list."""
         for server in self.servers:
             serve = functools.partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1")
             (listener,) = await self._nursery.start(serve)
             server.address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
         await self._nursery.start(serve_http, _List(self.servers), self._list)
-        for host in self.hosts:
-            await self.start_control(host, found=True)
-        for number in range(len(self._gateway_ports) // 2):
-            await self._start_gateway(number)
 
-    async def start_control(self, host, found=False):
-        """Start one control member, which runs until ``stop_control``."""
-        cfg = ControlSettings(
+    def make_control_settings(self, host, found=False):
+        """Return the settings of one control member."""
+        return ControlSettings(
             name=f"c-{host}",
             domain="a",
             address=f"{host}:{self._ports[0]}",
@@ -143,6 +164,10 @@
                 list_interval_s=0.2,
             ),
         )
+
+    async def start_control(self, host, found=False):
+        """Start one control member, which runs until ``stop_control``."""
+        cfg = self.make_control_settings(host, found)
         found_group(cfg)
         program = ControlProgram(cfg, create_unexported_metrics())
         await self._nursery.start(self._run, host, program)
@@ -158,9 +183,13 @@
         with scope:
             await program.run(task_status=task_status)
 
-    async def _start_gateway(self, number):
+    def make_gateway_settings(self, number, admin=None):
+        """Return the settings of one gateway."""
         front, readiness = self._gateway_ports[2 * number : 2 * number + 2]
-        cfg = GatewaySettings(
+        return GatewaySettings(
+            admin=admin,
+            peer=f"127.0.0.1:{self._peer_ports[number]}",
+            link_mbps=self._links_mbps[number],
             name=f"g{number}",
             domain="a",
             listen=f"127.0.0.1:{front}",
@@ -171,15 +200,19 @@
             balancer_lag_s=0.2,
             budget=BudgetSettings(retry_ratio=1.0, slack=100.0),
         )
-        program = GatewayProgram(cfg)
+
+    async def _start_gateway(self, number):
+        program = GatewayProgram(self.make_gateway_settings(number))
         await self._nursery.start(program.run)
         self.gateways.append(program)
 
-    async def call(self, method, path, body=b"", gateway=0, deadline_ms=5000):
+    async def call(
+        self, method, path, body=b"", gateway=0, deadline_ms=5000, request_id=None
+    ):
         """Send a request to a gateway; return status, headers and body."""
         headers = {
             "host": HOST,
-            "x-wisteriaworks-request-id": f"r{next(self._numbers)}",
+            "x-wisteriaworks-request-id": request_id or f"r{next(self._numbers)}",
             "x-wisteriaworks-deadline-ms": str(deadline_ms),
         }
         address = f"127.0.0.1:{self._gateway_ports[2 * gateway]}"
