--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,6 +11,7 @@
 
 import capacity_control
 import capacity_entry
+import capacity_gateway
 import capacity_members
 import capacity_placement
 import capacity_subquery
@@ -23,6 +24,7 @@
     capacity_members,
     capacity_entry,
     capacity_subquery,
+    capacity_gateway,
 )
 PARTS = {part.name: part for module in _MODULES for part in module.PARTS}
 
--- /dev/null
+++ b/bench/capacity_gateway.py
@@ -0,0 +1,257 @@
+"""Measure what gateways cost, and the leader for them."""
+
+import random
+import time
+from types import SimpleNamespace
+
+import msgspec
+import trio
+from capacity_fit import Part
+
+from wisteriaworks import codec
+from wisteriaworks.events import Event
+from wisteriaworks.gateway.fetch import Fetch, FetchPolicy, FetchTrace
+from wisteriaworks.gateway.fleet_state import FleetState
+from wisteriaworks.gateway.forwarder import Fleet
+from wisteriaworks.gateway.model import Answered, CallerRequest, ServerAnswer
+from wisteriaworks.gateway.query import Query
+from wisteriaworks.gateway.request_log import RequestLog
+from wisteriaworks.generated.document import Document, Route
+from wisteriaworks.generated.messages import FleetUpdate, ListedServer, Watch
+from wisteriaworks.generated.settings import GatewaySettings, LogSettings
+from wisteriaworks.log_limit import LogLimiter
+from wisteriaworks.logs import configure_logs
+from wisteriaworks.metrics import Metrics
+from wisteriaworks.orders import OrderService
+from wisteriaworks.server_directory import ServerDirectory
+
+SERVERS = (1_000, 3_000, 9_000)
+GATEWAYS = (100, 300, 900)
+SHARDS = (20, 60, 180)
+LINES = (1_000, 3_000, 9_000)
+TINY = (10, 20, 30)
+DESIGN_SERVERS = 24_000
+DESIGN_GATEWAYS = 3_700
+DESIGN_SHARDS = 57
+ROUNDS = 5
+ANSWER = ServerAnswer(200, (), b"", b"sig", b"id", False, False, None)
+
+
+def _time_ms(step):
+    times = []
+    for _ in range(ROUNDS):
+        started = time.process_time()
+        step()
+        times.append(time.process_time() - started)
+    return min(times) * 1000
+
+
+def _make_settings():
+    address = "127.0.0.1:0"
+    return GatewaySettings(
+        name="g1",
+        domain="a",
+        listen=address,
+        readiness=address,
+        seeds=(address,),
+        member_port=1,
+        server_list=address,
+        seed=1,
+    )
+
+
+def _make_fleet(now=0.0):
+    fleet = Fleet.create(_make_settings(), random.Random(1), now)
+    fleet.table.replace((), now)
+    return fleet
+
+
+def _make_servers(count):
+    return tuple(
+        ListedServer(
+            id=f"i-{n:010x}",
+            service=f"s{n // 2}",
+            address=f"10.0.{n // 250}.{n % 250}:8080",
+            domain=f"domain-{n % 4}",
+            slots=2,
+            draining=False,
+            cold_s=0.0,
+        )
+        for n in range(count)
+    )
+
+
+def _make_update(servers, full):
+    return FleetUpdate(
+        state_index=1,
+        config_version=1,
+        document=Document(),
+        domains_out=(),
+        gateways=9,
+        position=0,
+        list_read=True,
+        full=full,
+        servers=servers,
+        removed=(),
+        members=("10.0.0.1:7380",) * 4,
+    )
+
+
+def measure_servers(size):
+    """Return what the list of servers costs a gateway."""
+
+    async def measure():
+        servers = _make_servers(size)
+        state = FleetState(_make_fleet(), lambda document: None)
+        full = codec.encode(_make_update(servers, True))
+        one = codec.encode(_make_update(servers[:1], False))
+        state.take_update(codec.decode(full))
+        return {
+            "whole list, kB": len(full) / 1000,
+            "whole list: decode and take over, ms": _time_ms(
+                lambda: state.take_update(codec.decode(full))
+            ),
+            "one changed server: decode and take over, ms": _time_ms(
+                lambda: state.take_update(codec.decode(one))
+            ),
+        }
+
+    return trio.run(measure)
+
+
+def measure_gateways(size):
+    """Return what gateways that watch cost the leader, handlers only."""
+    watches = [
+        Watch(f"g{n}", 1, f"domain-{n % 4}", f"10.0.0.{n % 250}:7395", 1000.0)
+        for n in range(size)
+    ]
+    machine = SimpleNamespace(
+        version=1, applied_index=1, document=None, domains_out=(), gateways=size
+    )
+    node = SimpleNamespace(machine=machine, replica=SimpleNamespace(members=()))
+    service = OrderService(node, ServerDirectory())
+    service._watches = watches
+    service._note_watches()
+
+    def update_all():
+        for watch in watches:
+            codec.encode(service._make_update(watch.name, 1, 1)[0])
+
+    async def measure():
+        return {
+            "updates without changes to all, ms": _time_ms(update_all),
+            "one gateway joins, ms": _time_ms(service._note_watches),
+        }
+
+    return trio.run(measure)
+
+
+def measure_shards(size):
+    """Return what the decisions of one query cost, without I/O."""
+    fleet = _make_fleet(-60.0)
+    services = tuple(f"s{n}" for n in range(size))
+    fleet.table.replace(_make_servers(2 * size), 0.0)
+    route = Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        timeout_ms=1000,
+        attempts=2,
+        objective_ms=140,
+        shards=services,
+        idempotent=True,
+        minimum_coverage=0.9,
+    )
+
+    def run_query():
+        fetches = {
+            name: Fetch(FetchPolicy(name, True, 2, 0.0, 0.05), fleet)
+            for name in services
+        }
+        query = Query(route, fetches, 1.0, 2.0)
+        for number, (fetch, send) in enumerate(query.begin(1.0)):
+            fleet.stats.begin(send.server.id, number, 1.0)
+            fleet.stats.succeed(send.server.id, number, 1.02)
+            fetch.note_outcome(send.server.id, Answered(ANSWER), 1.02)
+            if fetch.is_over:
+                query.settle(1.02)
+
+    return {"decisions of a query, ms": _time_ms(run_query)}
+
+
+def measure_lines(size):
+    """Return what a number of requests costs the log and the metrics."""
+
+    async def measure():
+        configure_logs(LogSettings(file="/dev/null"), "wisteria-gateway", "g1")
+        state = SimpleNamespace(
+            routes=SimpleNamespace(version=7), updated_at=trio.current_time()
+        )
+        log = RequestLog(state, Metrics(), random.Random(1))
+        log._limiter = LogLimiter(lines_per_s=10 * size * ROUNDS)
+        now = trio.current_time()
+        request = CallerRequest(b"GET", b"/", "h", (), b"", b"id", now + 1.0)
+        route = SimpleNamespace(name="r")
+        cause = FetchTrace("s1", ("i-1", "i-2"), "waiting", "budget")
+
+        def note_partial():
+            for _ in range(size):
+                log.note_partial(route, request, 1, (cause,), now)
+
+        def note_answer():
+            for _ in range(size):
+                log.note_answer(route, request, 200, now)
+
+        written = _time_ms(note_partial)
+        log._limiter = LogLimiter(lines_per_s=0)
+        return {
+            "partial answers, each with a line, ms": written,
+            "partial answers over the bound, counted, ms": _time_ms(note_partial),
+            "complete answers, sampled, ms": _time_ms(note_answer),
+            "bytes of one line": float(len(_render_line(request, cause))),
+        }
+
+    return trio.run(measure)
+
+
+def _render_line(request, cause):
+    number, level, text = Event.ANSWER_PARTIAL.value
+    line = {
+        "time": "2026-12-04T14:00:00.000000+00:00",
+        "level": level,
+        "text": text,
+        "program": "wisteria-gateway",
+        "name": "gateway-1",
+        "event": number,
+        "request": request.id.decode(),
+        "route": "r",
+        "waited_ms": 133,
+        "version": 7,
+        "state_age_ms": 72,
+        "left_ms": 1899,
+        "causes": [cause],
+        "missing": 1,
+    }
+    return msgspec.json.encode(line)
+
+
+PARTS = (
+    Part(
+        "gateway: list of servers",
+        "server",
+        SERVERS,
+        TINY,
+        DESIGN_SERVERS,
+        measure_servers,
+    ),
+    Part(
+        "gateway: leader's updates",
+        "gateway",
+        GATEWAYS,
+        TINY,
+        DESIGN_GATEWAYS,
+        measure_gateways,
+    ),
+    Part("gateway: decisions", "shard", SHARDS, TINY, DESIGN_SHARDS, measure_shards),
+    Part("gateway: log and metrics", "request", LINES, TINY, None, measure_lines),
+)
--- a/src/wisteriaworks/gateway/control_watch.py
+++ b/src/wisteriaworks/gateway/control_watch.py
@@ -122,6 +122,7 @@
         )
         is_followed, hint = False, ""
         reason = "it does not lead any more"
+        silence = f"no update for {SILENCE_S} s"
         try:
             async with channel.stream(message, DAY_S) as replies:
                 while isinstance(
@@ -136,6 +137,7 @@
                     self._members = reply.members
                     self._state.take_update(reply)
                 hint = reply.leader if reply is not None else ""
+                reason = reason if reply is not None else silence
         except RpcError as exc:
             reason = exc.message
         # Members that are merely asked are not worth a line each.
