Run handed queries by the asker's version only; read the list alone at a bounded pace

Cause, by reading: a delegate that adopts a version a little later than the asking gateway would answer by an older one, and the caller's next request, run where it came in, by the newer one or the reverse, which is a configuration that goes back.

Change: a handed query carries its version, and a delegate at another one declines, so it runs where it came in. A gateway without a leader waits longer and reads less often in a fleet of more than ten.

--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -112,7 +112,10 @@
         routes = self._state.routes
         path = message.target.split(b"?", 1)[0].decode("latin-1")
         route = routes.find(message.host, path)
-        if not self.is_ready or route is None or not route.shards:
+        # Under another version a caller could see a configuration go back, when
+        # its next request runs where it came in.
+        is_same = routes.version == message.version
+        if not (self.is_ready and is_same and route and route.shards):
             return HandedAnswer(taken=False)
         now = trio.current_time()
         request = CallerRequest(
@@ -136,7 +139,9 @@
     async def _answer(self, request, route, routes, arrived_at):
         if self._delegates is not None:
             try:
-                handed = await self._delegates.ask(request, route, arrived_at)
+                handed = await self._delegates.ask(
+                    request, route, routes.version, arrived_at
+                )
             except DelegateLostError as exc:
                 trace = FetchTrace("", (), str(exc), "")
                 result = Unserved(Reason.DELEGATE, may_have_run=True, causes=(trace,))
--- a/src/wisteriaworks/gateway/delegate_client.py
+++ b/src/wisteriaworks/gateway/delegate_client.py
@@ -29,9 +29,11 @@
         self._channels = {}
         self._numbers = itertools.count()
 
-    async def ask(self, request, route, arrived_at):
+    async def ask(self, request, route, version, arrived_at):
         """Return the answer of a delegate, or None to run the query here.
 
+        ``version`` is that of the configuration which the route is from.
+
         Raises DelegateLostError if a delegate may have run it in part.
         """
         now = trio.current_time()
@@ -47,7 +49,8 @@
             timeout_at = arrived_at + route.timeout_ms / 1000
             left_s = min(request.deadline_at, timeout_at) - now
             wait_s = min(left_s, WAIT_OBJECTIVES * route.objective_ms / 1000)
-            answer = await channel.call(_make_message(request, left_s), wait_s)
+            message = _make_message(request, version, left_s)
+            answer = await channel.call(message, wait_s)
         except RpcError as exc:
             is_lost = True
             if exc.sent:
@@ -69,7 +72,7 @@
         await trio.sleep_forever()
 
 
-def _make_message(request, left_s):
+def _make_message(request, version, left_s):
     return HandedQuery(
         method=request.method,
         target=request.target,
@@ -78,4 +81,5 @@
         body=request.body,
         id=request.id,
         left_ms=max(1, math.floor(left_s * 1000)),
+        version=version,
     )
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -17,6 +17,7 @@
 from wisteriaworks.gateway.delegation import Delegation
 from wisteriaworks.gateway.fleet_state import FleetState
 from wisteriaworks.gateway.forwarder import Forwarder
+from wisteriaworks.gateway.list_fallback import SILENCE_S, ListFallback
 from wisteriaworks.gateway.request_log import RequestLog
 from wisteriaworks.generated.messages import HandedQuery
 from wisteriaworks.list_reader import ListFollower, ListReader
@@ -27,9 +28,8 @@
 from wisteriaworks.settings_watch import SettingsWatch
 
 PROGRAM = "wisteria-gateway"
-# Without an update for this long the gateway reads the list itself.
-LIST_FALLBACK_S = 2.0
-LIST_INTERVAL_S = 1.5
+# How often the gateway looks whether it must read the list itself.
+LIST_CHECK_S = 0.25
 DRAIN_INTERVAL_S = 0.05
 BACKLOG = 1024
 KEPT_REQUESTS = 1_000_000
@@ -73,7 +73,7 @@
             nursery.start_soon(self._watch.run)
             nursery.start_soon(forwarder.sweep)
             nursery.start_soon(log.run)
-            nursery.start_soon(self._read_list_alone, state)
+            nursery.start_soon(self._read_list_alone, state, forwarder)
             nursery.start_soon(self._settings.run)
             if cfg.peer:
                 handlers = {HandedQuery: self.app.handle_handed_query}
@@ -158,15 +158,18 @@
         self._http.keep_alive_timeout = document.limits.idle_timeout_ms / 1000
         self._http.h11_max_incomplete_size = document.limits.max_header_bytes
 
-    async def _read_list_alone(self, state):
+    async def _read_list_alone(self, state, forwarder):
         """Read the list while no control member can be heard."""
+        fallback = ListFallback(random.Random())
 
         def is_wanted():
-            return trio.current_time() - state.updated_at > LIST_FALLBACK_S
+            now = trio.current_time()
+            gateways = forwarder.fleet.budget.gateways
+            return fallback.is_due(now - state.updated_at, gateways, now)
 
-        await trio.sleep(LIST_FALLBACK_S)
+        await trio.sleep(SILENCE_S)
         reader = ListReader(self._cfg.server_list, wire)
-        await ListFollower(reader, LIST_INTERVAL_S, is_wanted).run(state.take_list)
+        await ListFollower(reader, LIST_CHECK_S, is_wanted).run(state.take_list)
 
 
 def _make_http_config(cfg):
--- a/src/wisteriaworks/list_reader.py
+++ b/src/wisteriaworks/list_reader.py
@@ -1,5 +1,7 @@
 """Read the platform's list of servers again and again."""
 
+import contextlib
+
 import trio
 
 from wisteriaworks.errors import WisteriaError
@@ -90,11 +92,11 @@
 
     async def run(self, on_list):
         """Call ``on_list`` with each list until cancelled."""
-        while not self._is_wanted():
-            await self._wait()
-        async with open_pool() as pool:
+        pool = None
+        async with contextlib.AsyncExitStack() as stack:
             while True:
                 if self._is_wanted():
+                    pool = pool or await stack.enter_async_context(open_pool())
                     servers = await self._reader.read(pool)
                     if servers is not None:
                         on_list(servers)
--- a/tests/platform_adapter/test_handed_queries.py
+++ b/tests/platform_adapter/test_handed_queries.py
@@ -81,6 +81,18 @@
     assert count_runs(system, "kept") == len(SHARDS)
 
 
+async def test_query_of_another_version_is_declined(system):
+    """A caller would else see the configuration go back at its next request."""
+    await wait_for_delegate(system)
+    routes = system.gateways[FAR].app._state.routes
+    routes.version += 1
+    before = count_sends(system, FAR)
+    reply = await system.call("GET", "/shards/x", gateway=NEAR, request_id="other")
+    assert reply.status == 200
+    assert count_sends(system, FAR) == before
+    assert count_runs(system, "other") == len(SHARDS)
+
+
 async def test_caller_that_leaves_ends_the_query_at_the_delegate(system):
     await wait_for_delegate(system)
     for server in system.servers:
--- a/tests/test_list_reader.py
+++ b/tests/test_list_reader.py
@@ -51,6 +51,15 @@
     assert holder.reader.readings == 1
 
 
+async def test_each_time_that_the_list_is_wanted_is_asked_for_once(nursery):
+    """A gateway that decides to read must not have to decide twice."""
+    reader, taken, answers = StandInReader(), [], iter([True, False, False])
+    follower = ListFollower(reader, NEVER_S, lambda: next(answers))
+    nursery.start_soon(follower.run, taken.append)
+    await trio.testing.wait_all_tasks_blocked()
+    assert taken == [["server-1"]]
+
+
 @pytest.mark.parametrize("interval_s", [0.5, 2.0])
 async def test_list_is_read_at_intervals(nursery, autojump_clock, interval_s):
     holder = Holder(nursery, interval_s, leads=True)
