--- a/src/wisteriaworks/orders.py
+++ b/src/wisteriaworks/orders.py
@@ -3,6 +3,7 @@
 import msgspec
 import trio
 
+from wisteriaworks.document_codec import pack_document
 from wisteriaworks.errors import (
     ControlError,
     NotLeaderError,
@@ -29,6 +30,9 @@
 ORDER_TIMEOUT_S = 0.9
 # A gateway that hears nothing for three of these looks for another member.
 KEEPALIVE_S = 0.5
+# A new group waits this long for all members that the tolerated losses need;
+# each takes up to half a second to join.
+FORMATION_S = 6.0
 # A gateway takes queries of others if its link is this many times as fast as
 # the slowest one; the list of them is bounded, as each gateway gets all of it.
 DELEGATE_FACTOR = 4.0
@@ -102,6 +106,7 @@
         # Those that watch; a gateway that connects again may be in twice.
         self._watches = []
         self._names = []
+        self._packed_version, self._packed = -1, b""
         self._delegates = ()
 
     def list_handlers(self):
@@ -157,10 +162,18 @@
         return make_reply(result)
 
     def _find_unavailable(self):
-        cfg = self._node.cfg.operators
-        voters = sum(member.voter for member in self._node.replica.members)
-        if cfg is not None and voters < cfg.minimum_voters:
-            return f"{voters} of {cfg.minimum_voters} members have joined"
+        cfg, replica = self._node.cfg.operators, self._node.replica
+        if cfg is None:
+            return ""
+        voters = sum(member.voter for member in replica.members)
+        wanted = cfg.minimum_voters
+        is_first = self._node.machine.version == 0
+        led_s = trio.current_time() - (replica.became_leader_at or 0.0)
+        if is_first and led_s < FORMATION_S:
+            # Fewer voters would not keep an order over that many lost disks.
+            wanted = max(wanted, 2 * cfg.tolerated_losses)
+        if voters < wanted:
+            return f"{voters} of {wanted} members have joined"
         return ""
 
     async def _read_source(self, message, send):
@@ -212,6 +225,14 @@
             while not self._node.replica.leader_address and not self._node.is_stopping:
                 await self._changed.wait()
 
+    def _pack_document(self):
+        """Return the document in force, packed once for all gateways."""
+        machine = self._node.machine
+        if self._packed_version != machine.version:
+            self._packed = pack_document(machine.document)
+            self._packed_version = machine.version
+        return self._packed
+
     def _make_update(self, name, version, revision):
         machine = self._node.machine
         changes = self._directory.list_changes(revision, trio.current_time())
@@ -219,7 +240,7 @@
         update = FleetUpdate(
             state_index=machine.applied_index,
             config_version=machine.version,
-            document=machine.document if is_newer else None,
+            document=self._pack_document() if is_newer else b"",
             domains_out=tuple(sorted(machine.domains_out)),
             gateways=max(machine.gateways, self.watching),
             position=self._names.index(name),
