--- a/src/wisteriaworks/consensus.py
+++ b/src/wisteriaworks/consensus.py
@@ -4,8 +4,6 @@
 that ``take_effects`` returns. Times are in seconds on a monotonic clock.
 """
 
-from dataclasses import dataclass
-
 from wisteriaworks.consensus_log import check
 from wisteriaworks.effects import LeadershipChanged
 from wisteriaworks.following import Following
@@ -24,34 +22,6 @@
 from wisteriaworks.member_state import MemberState
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
-    """Hold the intervals of the replicated log, in seconds.
-
-    A member that heard from a leader refuses votes for ``election_min_s``, and
-    a leader that did not hear from a majority for that long steps down.
-    """
-
-    heartbeat_s: float = 0.15
-    election_min_s: float = 1.0
-    election_max_s: float = 2.0
-    # A pre-vote after a start finds out whether all voters have just started.
-    # It is repeated at this pace while they start, which takes up to a second.
-    first_prevote_min_s: float = 0.02
-    first_prevote_max_s: float = 0.08
-    starting_s: float = 3.0
-    # Voters that have all just started may vote for different candidates; the
-    # next try waits for the votes, which take two syncs and a round trip.
-    restart_retry_min_s: float = 0.1
-    restart_retry_max_s: float = 0.3
-    # They start in the order of their ids, so that the first has most votes
-    # before the next one starts; a round trip takes 2 to 4 ms, a sync 2 ms.
-    restart_step_s: float = 0.03
-    # A refused pre-vote costs nothing, so it is repeated sooner.
-    prevote_retry_min_s: float = 0.25
-    prevote_retry_max_s: float = 0.5
-
-
 class Consensus:
     """Run the replicated log of one member."""
 
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -9,7 +9,7 @@
 
 from wisteriaworks.admin import AdminApp, serve_http
 from wisteriaworks.assigner import Assigner
-from wisteriaworks.consensus import Timing
+from wisteriaworks.consensus_timing import Timing
 from wisteriaworks.control_client import ControlClient
 from wisteriaworks.control_node import ControlNode
 from wisteriaworks.control_service import ControlService
--- a/src/wisteriaworks/replica.py
+++ b/src/wisteriaworks/replica.py
@@ -5,7 +5,8 @@
 
 import trio
 
-from wisteriaworks.consensus import Consensus, Timing
+from wisteriaworks.consensus import Consensus
+from wisteriaworks.consensus_timing import Timing
 from wisteriaworks.effects import (
     ApplyEntries,
     ConfirmationDone,
--- a/tests/log_simulation.py
+++ b/tests/log_simulation.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
-from wisteriaworks.consensus import Consensus, Timing
+from wisteriaworks.consensus import Consensus
 from wisteriaworks.consensus_log import StoredState
+from wisteriaworks.consensus_timing import Timing
 from wisteriaworks.effects import (
     AppendLog,
     ApplyEntries,
--- a/tests/platform_adapter/fault_soak.py
+++ b/tests/platform_adapter/fault_soak.py
@@ -23,7 +23,7 @@
 import httpcore
 import trio
 from fault_proxy import Fault, FaultProxy, choose_fault
-from platform_stand_in import HOST, StandInServer
+from platform_stand_in import HOST, make_servers
 from process_stand_in import ProcessSystem
 from test_gateway_system import SHARDS, make_configuration
 
@@ -57,12 +57,7 @@
     def __init__(self, nursery, folder, seed):
         self._rng = random.Random(seed)
         self._nursery = nursery
-        servers = [
-            StandInServer(f"i{10 * shard + n}", f"s{shard}", domain)
-            for shard in (1, 2, 3)
-            for n, domain in enumerate("ab")
-        ]
-        self.system = ProcessSystem(nursery, folder, servers, gateways=2)
+            self.system = ProcessSystem(nursery, folder, make_servers(), gateways=2)
         self.proxies = []
         self.found = Findings()
         self._numbers = itertools.count()
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -98,6 +98,15 @@
         return True
 
 
+def make_servers():
+    """Return two servers, in two domains, for each of three services."""
+    return [
+        StandInServer(f"i{10 * shard + n}", f"s{shard}", domain)
+        for shard in (1, 2, 3)
+        for n, domain in enumerate("ab")
+    ]
+
+
 class _List:
     """Serve the list of servers, two entries a page."""
 
--- a/tests/platform_adapter/test_gateway_system.py
+++ b/tests/platform_adapter/test_gateway_system.py
@@ -4,7 +4,7 @@
 
 import pytest
 import trio
-from platform_stand_in import HOST, StandInServer, StandInSystem
+from platform_stand_in import HOST, StandInSystem, make_servers
 from test_config_format import make_service
 
 SHARDS = ["s1", "s2", "s3"]
@@ -44,12 +44,7 @@
 
 @pytest.fixture
 async def system(nursery, tmp_path):
-    servers = [
-        StandInServer(f"i{10 * shard + n}", f"s{shard}", domain)
-        for shard in (1, 2, 3)
-        for n, domain in enumerate("ab")
-    ]
-    system = StandInSystem(nursery, tmp_path, servers)
+    system = StandInSystem(nursery, tmp_path, make_servers())
     await system.start()
     reply = await system.order("PUT", "/api/config", make_configuration(5))
     assert reply.status == 200
--- a/tests/platform_adapter/test_handed_queries.py
+++ b/tests/platform_adapter/test_handed_queries.py
@@ -4,7 +4,7 @@
 
 import pytest
 import trio
-from platform_stand_in import StandInServer, StandInSystem
+from platform_stand_in import StandInSystem, make_servers
 from test_gateway_system import SHARDS, make_configuration
 
 # Three answers of 1,300 bytes take 312 ms on the first link.
@@ -21,12 +21,7 @@
 
 @pytest.fixture
 async def system(nursery, tmp_path):
-    servers = [
-        StandInServer(f"i{10 * shard + n}", f"s{shard}", domain)
-        for shard in (1, 2, 3)
-        for n, domain in enumerate("ab")
-    ]
-    system = StandInSystem(nursery, tmp_path, servers, links_mbps=LINKS_MBPS)
+    system = StandInSystem(nursery, tmp_path, make_servers(), links_mbps=LINKS_MBPS)
     await system.start()
     assert (await system.order("PUT", "/api/config", make_document())).status == 200
     for gateway in (NEAR, FAR):
--- a/tests/platform_adapter/test_walks.py
+++ b/tests/platform_adapter/test_walks.py
@@ -6,7 +6,7 @@
 
 import pytest
 import trio
-from platform_stand_in import StandInServer
+from platform_stand_in import make_servers
 from process_stand_in import ProcessSystem
 from test_gateway_system import make_configuration
 
@@ -17,12 +17,7 @@
 
 @pytest.fixture
 async def system(nursery, tmp_path):
-    servers = [
-        StandInServer(f"i{10 * shard + n}", f"s{shard}", domain)
-        for shard in (1, 2, 3)
-        for n, domain in enumerate("ab")
-    ]
-    system = ProcessSystem(nursery, tmp_path, servers)
+    system = ProcessSystem(nursery, tmp_path, make_servers())
     try:
         await system.start()
         reply = await system.order("PUT", "/api/config", make_configuration(5))
--- a/tests/test_consensus_rules.py
+++ b/tests/test_consensus_rules.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from wisteriaworks.consensus import Consensus, Timing
+from wisteriaworks.consensus import Consensus
 from wisteriaworks.consensus_log import StoredState
+from wisteriaworks.consensus_timing import Timing
 from wisteriaworks.effects import ConfirmationDone, SendMessage
 from wisteriaworks.errors import InvariantError, MembershipError
 from wisteriaworks.generated.consensus import (
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -9,7 +9,7 @@
 import trio
 
 from wisteriaworks import rpc
-from wisteriaworks.consensus import Timing
+from wisteriaworks.consensus_timing import Timing
 from wisteriaworks.effects import PersistVote
 from wisteriaworks.errors import (
     MembershipError,
