--- a/tests/platform_adapter/fault_soak.py
+++ b/tests/platform_adapter/fault_soak.py
@@ -57,7 +57,7 @@
     def __init__(self, nursery, folder, seed):
         self._rng = random.Random(seed)
         self._nursery = nursery
-            self.system = ProcessSystem(nursery, folder, make_servers(), gateways=2)
+        self.system = ProcessSystem(nursery, folder, make_servers(), gateways=2)
         self.proxies = []
         self.found = Findings()
         self._numbers = itertools.count()
