Wait in a test until all members have the repaired list

It stopped the leader as soon as the leader itself had dropped the lost member; if that entry had not reached the other two, they are two of four voters with one more lost, which no group of one tolerated loss bears. The test's promise is that a second member may be lost after a repair, so it now waits until every member has the repaired list.

--- a/tests/platform_adapter/test_gateway_system.py
+++ b/tests/platform_adapter/test_gateway_system.py
@@ -141,10 +141,13 @@
     await system.start_control(host)
 
     async def is_whole():
-        leader = system.control[system.find_leader()].node.replica
+        # At every member: a list that only the leader has is lost with it.
+        replicas = [program.node.replica for program in system.control.values()]
+        lists = {replica.members for replica in replicas}
         own = system.control[host].node.replica.id
-        voters = {m.id for m in leader.members if m.voter}
-        return own in voters and len(leader.members) == len(system.hosts)
+        (members,) = lists if len(lists) == 1 else ((),)
+        voters = {m.id for m in members if m.voter}
+        return own in voters and len(members) == len(system.hosts)
 
     await system.wait_until(is_whole)
     for other in system.hosts:
