Bound what a new connection counts in the choice of a server

A new connection counted 8 ms, so for answers of 5 ms a server of the own domain without connections (13 ms) lost against one of another domain with an open one (7.5 ms with the penalty of 1.5) as long as that stayed open, and a domain that returned got no short requests. It happened when the domain's own connections had grown idle meanwhile, as beside load.

Change: a new connection counts for at most three tenths of the answer's time. The new test of the choice fails before.

--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -22,7 +22,7 @@
 from wisteriaworks.gateway.query import Query, Reason, Unserved
 from wisteriaworks.gateway.server_stats import ServerStats
 from wisteriaworks.gateway.server_table import ServerTable
-from wisteriaworks.gateway.upstream import NEW_CONNECTION_S, Exchange, ServerPool
+from wisteriaworks.gateway.upstream import Exchange, ServerPool, estimate_opening
 from wisteriaworks.log_limit import LogLimiter
 
 # A send whose result is not needed any more keeps its connection this long, so
@@ -189,7 +189,9 @@
 
     def _estimate_wait(self, server_id, work_s, now):
         pool = self._pools.get(server_id)
-        return NEW_CONNECTION_S if pool is None else pool.estimate_wait(work_s, now)
+        if pool is None:
+            return estimate_opening(work_s)
+        return pool.estimate_wait(work_s, now)
 
 
 class _Run:
--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -24,6 +24,9 @@
 # What a new connection costs before its first request: up to 6 ms at the server
 # and a round trip.
 NEW_CONNECTION_S = 0.008
+# It counts for at most this share of an answer's time, so that a server that has
+# returned without connections gets short requests again.
+NEW_CONNECTION_SHARE = 0.3
 # A connection whose peer does not acknowledge bytes for this long is closed
 # by the system.
 UNACKNOWLEDGED_MS = 2000
@@ -37,6 +40,11 @@
 _WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK)
 
 
+def estimate_opening(work_s):
+    """Return what a new connection counts beside an answer of ``work_s``."""
+    return min(NEW_CONNECTION_S, NEW_CONNECTION_SHARE * work_s)
+
+
 @dataclass(eq=False, slots=True)
 class Exchange:
     """Hold one request to one server until its outcome is known.
@@ -197,7 +205,7 @@
         if self._idle and self._idle[-1].is_fresh(now):
             return 0.0
         if self.size < self.limit:
-            return NEW_CONNECTION_S
+            return estimate_opening(work_s)
         # Half of the answers that are under way are still to come.
         return work_s * (0.5 + len(self._waiting) / max(1, self.limit))
 
--- a/tests/gateway/test_server_stats.py
+++ b/tests/gateway/test_server_stats.py
@@ -8,6 +8,7 @@
 
 from wisteriaworks.gateway.server_stats import FORGET_S, ServerStats
 from wisteriaworks.gateway.server_table import KnownServer
+from wisteriaworks.gateway.upstream import estimate_opening
 
 SERVERS = [KnownServer(make_listed(name), 0.0) for name in ("bad", "good")]
 
@@ -112,6 +113,20 @@
     assert chosen["bad"] > 50
 
 
+def test_own_domain_without_connections_gets_short_requests_again():
+    """Else a domain that returns gets none while the other's connections last."""
+    servers = [
+        KnownServer(make_listed("own", domain="a"), 0.0),
+        KnownServer(make_listed("other", domain="b"), 0.0),
+    ]
+    stats = ServerStats("a", random.Random(1))
+    stats.estimate_wait = lambda server_id, work_s, now: (
+        estimate_opening(work_s) if server_id == "own" else 0.0
+    )
+    chosen = Counter(stats.choose(servers, 1.0, 0.005).id for _ in range(200))
+    assert chosen["own"] > 100
+
+
 def test_silent_server_is_avoided_after_one_request():
     """Pattern: a server goes dark; each further request would cost a hedge."""
     stats = ServerStats("a", random.Random(1))
