Show that one unreadable entry hides the list of servers

Tried: the platform's list has one entry of another writer, with an escaped half of a surrogate pair in a string; 2 s later a server is listed as draining.

--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -156,11 +156,15 @@
                 answer, was_run = await self._answer(request)
                 writer.write(self.spoil(connection, answer, was_run))
                 await writer.drain()
+                if b"Connection: close" in answer:
+                    break
         writer.close()
 
     async def _answer(self, request):
         request_id = request.headers.get(REQUEST_ID, "")
         fields = {"X-Wisteriaworks-Request-Id": request_id, "Keep-Alive": "timeout=15"}
+        if self.state == "draining":
+            fields["Connection"] = "close"
         if request.headers.get(EXPECTED) != self.id:
             return encode_message("HTTP/1.1 421 Misdirected", fields), False
         self.arrivals.append((time.monotonic(), request_id))
@@ -213,6 +217,8 @@
         prefix = f"127.{random.randint(50, 250)}.{random.randint(1, 250)}"
         self._platform_ip = f"{prefix}.250"
         self.servers = []
+        # Entries of the platform's list that come from another writer.
+        self.other_entries = []
         self.vms = [
             Vm(
                 f"front-{zone}-{n + 1}",
@@ -359,9 +365,11 @@
             target = request.first_line.split(" ")[1]
             start = int(target.partition("pageToken=p-")[2] or 0)
             end = start + PAGE_ENTRIES
+            entries = [server.describe() for server in self.servers]
+            entries += self.other_entries
             page = {
-                "instances": [s.describe() for s in self.servers[start:end]],
-                "nextPageToken": f"p-{end}" if end < len(self.servers) else None,
+                "instances": entries[start:end],
+                "nextPageToken": f"p-{end}" if end < len(entries) else None,
             }
             fields = {"Content-Type": "application/json"}
             body = json.dumps(page).encode()
