Show that servers which start again under their ids are lost

Tried: the two servers of a service crash, their addresses go to servers of another service, and they start again under their ids at new addresses, 2.5 s later. Their route was added by a later configuration.

--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -123,6 +123,8 @@
         # Times and request ids of what arrived from clients, and of what has run.
         self.arrivals, self.runs = [], []
         self._system = system
+        self._listener = None
+        self._writers = set()
         self._queue = queue
         self._waiting = 0
         self._slots = asyncio.Semaphore(slots)
@@ -148,8 +150,27 @@
         """Return the bytes that are sent for an answer."""
         return answer
 
+    async def start(self, port=0):
+        """Start at a port, or at a free one."""
+        self._listener, self.address = await self._system.listen(self.serve, port)
+        self._system.record(f"{self.id} starts at {self.address}")
+
+    def crash(self):
+        """End; connections are reset and the port has no listener."""
+        self._system.record(f"{self.id} crashes")
+        self._listener.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
         """Serve one connection."""
+        self._writers.add(writer)
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_requests(self, reader, writer):
         connection = {}
         with contextlib.suppress(ConnectionError):
             while (request := await read_message(reader)) is not None:
@@ -254,8 +275,8 @@
     async def start(self):
         """Start the servers, the platform's list and all programs."""
         for server in self.servers:
-            server.address = await self._listen(server.serve)
-        self._list_address = await self._listen(self._serve_list)
+            await server.start()
+        _, self._list_address = await self.listen(self._serve_list)
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         for vm in self.vms:
             for role, spec in deploy["roles"].items():
@@ -347,7 +368,9 @@
                 return False
         return True
 
-    async def _listen(self, serve):
+    async def listen(self, serve, port=0):
+        """Listen at a port, or at a free one; return the listener and its address."""
+
         async def accept(reader, writer):
             self._writers.add(writer)
             try:
@@ -355,9 +378,10 @@
             finally:
                 self._writers.discard(writer)
 
-        listener = await asyncio.start_server(accept, self._platform_ip, 0, backlog=256)
+        ip = self._platform_ip
+        listener = await asyncio.start_server(accept, ip, port, backlog=256)
         host, port = listener.sockets[0].getsockname()
-        return f"{host}:{port}"
+        return listener, f"{host}:{port}"
 
     async def _serve_list(self, reader, writer):
         while (request := await read_message(reader)) is not None:
