Remove a lost control member before its successor votes

Cause: a learner was promoted at once, while the voter that it replaced stayed in the list until 10 s of silence, counted anew from each election. Leaders replaced 8 s apart left 3 running voters of 6.

Change: a learner is promoted only once each voter has answered since the learner was added. A voter that has not and is silent for over 1 s is removed first. Ruled out: a shorter time-out for all silent voters, which would remove each frozen member; a swap in one step, which is unsafe for an odd number.

--- a/src/wisteriaworks/membership_repair.py
+++ b/src/wisteriaworks/membership_repair.py
@@ -1,6 +1,11 @@
-"""Repair the membership of the control group without an operator."""
+"""Repair the membership of the control group without an operator.
+
+Load pattern: the VMs of members are replaced one after the other, faster than a lost
+voter would be removed by its silence alone, and the leader may be among them.
+"""
 
 import contextlib
+import math
 
 import trio
 
@@ -22,18 +27,20 @@
 SILENT_VOTER_S = 10.0
 SILENT_LEARNER_S = 30.0
 # A newer member at the same address shows that the older one lost its disk. The
-# older one is removed after a silence of a few heartbeats. A learner is promoted
-# only if the last contact with it is more recent than this.
+# older one is removed after a silence of a few heartbeats, and so is a voter that a
+# learner replaces. A learner is promoted only if the last contact with it is more
+# recent than this.
 RECENT_CONTACT_S = 1.0
 JOIN_INTERVAL_S = 0.5
 JOIN_TIMEOUT_S = 1.0
 
 
-def choose_change(members, silence, own_id, tolerated_losses=1):
+def choose_change(members, silence, own_id, tolerated_losses=1, waiting=None):
     """Return the next change as (action, member), or None.
 
     ``silence`` maps the ids of the other members to the seconds since the last
-    contact with them.
+    contact with them, and ``waiting`` those of the learners to the seconds since they
+    were added.
     """
     minimum_voters = max(MINIMUM_VOTERS, 2 * tolerated_losses + 1)
     others = [member for member in members if member.id != own_id]
@@ -43,9 +50,13 @@
         silent_s = silence.get(member.id, 0.0)
         if newest_ids[member.address] != member.id and silent_s > RECENT_CONTACT_S:
             return MemberAction.REMOVE, member
-    for member in others:
-        if not member.voter and silence.get(member.id, 0.0) < RECENT_CONTACT_S:
-            return MemberAction.PROMOTE, member
+    learners = [
+        member
+        for member in others
+        if not member.voter and silence.get(member.id, 0.0) < RECENT_CONTACT_S
+    ]
+    if learners:
+        return _choose_admission(others, learners, silence, minimum_voters, waiting)
     for member in others:
         silent_s = silence.get(member.id, 0.0)
         if member.voter and voters > minimum_voters and silent_s > SILENT_VOTER_S:
@@ -55,11 +66,38 @@
     return None
 
 
+def _choose_admission(others, learners, silence, minimum_voters, waiting):
+    """Return the change that brings the first learner closer to a vote, or None.
+
+    A learner may be the successor of a voter that is lost. If it became a voter beside
+    the lost one, each replacement would add a voter that never answers, until the
+    members that run are no majority. So a learner is promoted only when all voters
+    have answered since it was added; one that stays silent is removed first.
+    """
+    learner = learners[0]
+    waiting_s = (waiting or {}).get(learner.id, math.inf)
+    unheard = [
+        member
+        for member in others
+        if member.voter and silence.get(member.id, 0.0) >= waiting_s
+    ]
+    # Without one of the others, but with this member, which leads.
+    remaining = sum(member.voter for member in others)
+    if not unheard or remaining + len(learners) < minimum_voters:
+        return MemberAction.PROMOTE, learner
+    longest_silent = max(unheard, key=lambda member: silence[member.id])
+    if silence[longest_silent.id] > RECENT_CONTACT_S:
+        return MemberAction.REMOVE, longest_silent
+    return None
+
+
 class MembershipRepairer:
     """Remove lost members and promote learners while this member is the leader."""
 
     def __init__(self, node):
         self._node = node
+        # Time at which this leader first saw each learner.
+        self._learners = {}
 
     async def run(self):
         """Run until cancelled."""
@@ -72,14 +110,21 @@
     async def _repair_once(self):
         replica = self._node.replica
         if not replica.is_leader or self._node.is_stopping:
+            self._learners.clear()
             return
         now, became_leader_at = trio.current_time(), replica.became_leader_at
         silence = {
             member_id: now - max(last_contact_at, became_leader_at)
             for member_id, last_contact_at in replica.last_contacts.items()
         }
+        self._learners = {
+            member.id: max(self._learners.get(member.id, now), became_leader_at)
+            for member in replica.members
+            if not member.voter
+        }
+        waiting = {id: now - added_at for id, added_at in self._learners.items()}
         losses = self._node.cfg.operators.tolerated_losses
-        change = choose_change(replica.members, silence, replica.id, losses)
+        change = choose_change(replica.members, silence, replica.id, losses, waiting)
         if change is not None:
             action, member = change
             await replica.change_members(action, member.id, member.address)
--- a/tests/test_membership_repair.py
+++ b/tests/test_membership_repair.py
@@ -19,9 +19,9 @@
     )
 
 
-def choose(members, **silence):
+def choose(members, waiting=None, **silence):
     silent = {name.replace("_", "/"): value for name, value in silence.items()}
-    change = choose_change(members, silent, "a/1")
+    change = choose_change(members, silent, "a/1", waiting=waiting)
     return change and (change[0], change[1].id)
 
 
@@ -61,3 +61,29 @@
 def test_leader_never_removes_itself():
     members = make_members("a/1", "b/1", "c/1", "d/1", "a/2")
     assert choose(members, a_2=0.1) is None
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "change"),
+    [
+        # Heard after the learner was added: not the voter that it replaces.
+        (0.1, (MemberAction.PROMOTE, "e/1")),
+        # Not heard since then, but not long enough to be lost.
+        (0.7, None),
+        (1.1, (MemberAction.REMOVE, "b/1")),
+    ],
+)
+def test_learner_does_not_vote_beside_the_voter_that_it_replaces(silent_s, change):
+    members = make_members(*(f"{n}/1" for n in "abcde"), learners=("e/1",))
+    waiting = {"e/1": 0.5}
+    silence = {"c_1": 0.1, "d_1": 0.1, "e_1": 0.1, "b_1": silent_s}
+    assert choose(members, waiting, **silence) == change
+
+
+def test_group_does_not_shrink_below_its_minimum_for_a_learner():
+    members = make_members(*(f"{n}/1" for n in "abcd"), learners=("d/1",))
+    change = choose(members, {"d/1": 5.0}, b_1=6.0, c_1=9.0, d_1=0.1)
+    assert change == (MemberAction.REMOVE, "c/1")
+    members = make_members("a/1", "b/1", "d/1", learners=("d/1",))
+    change = choose(members, {"d/1": 5.0}, b_1=6.0, d_1=0.1)
+    assert change == (MemberAction.PROMOTE, "d/1")
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -20,6 +21,7 @@
 from wisteriaworks.generated.consensus import Deliver, PreVoteReply
 from wisteriaworks.generated.messages import MemberAction
 from wisteriaworks.log_store import LogStore, initialise
+from wisteriaworks.membership_repair import MembershipRepairer
 from wisteriaworks.replica import Replica
 
 SNAPSHOT_EVERY = 50
@@ -155,6 +157,12 @@
         await self.change(MemberAction.ADD_LEARNER, member_id, host.address)
         await self.change(MemberAction.PROMOTE, member_id)
 
+    async def wait_for_voter(self, member_id):
+        while not self._has_changed(
+            await self.find_leader(), MemberAction.PROMOTE, member_id
+        ):
+            await trio.sleep(0.02)
+
     async def settle(self):
         """Wait until all running replicas have applied the same commands."""
         marker = next(self._markers)
@@ -248,6 +256,37 @@
     assert {b"a%d" % n for n in range(200)} < set(applied)
 
 
+async def _run_repairer(host):
+    operators = SimpleNamespace(tolerated_losses=1)
+    node = SimpleNamespace(
+        replica=host.replica,
+        is_stopping=False,
+        cfg=SimpleNamespace(operators=operators),
+    )
+    await MembershipRepairer(node).run()
+
+
+async def test_leaders_replaced_in_turn_leave_a_majority(cluster, tmp_path, nursery):
+    """Lost leaders that stayed voters beside their successors ended the group."""
+    for host in cluster.hosts:
+        nursery.start_soon(_run_repairer, host)
+    with trio.fail_after(WAIT_S):
+        for name in ("c3", "c4", "c5", "c6"):
+            successor = Host(name, tmp_path / name, nursery)
+            await successor.listen()
+            await successor.start()
+            if len(cluster.hosts) > 3:
+                lost = await cluster.find_leader()
+                await lost.stop()
+                cluster.hosts.remove(lost)
+            cluster.hosts.append(successor)
+            nursery.start_soon(_run_repairer, successor)
+            member_id = successor.replica.id
+            await cluster.change(MemberAction.ADD_LEARNER, member_id, successor.address)
+            await cluster.wait_for_voter(member_id)
+        await cluster.propose(b"a")
+
+
 @pytest.mark.parametrize("lost", [(), (0,), (2,)])
 async def test_group_that_lost_power_does_not_wait_for_a_lost_disk(cluster, lost):
     """The election after the start must not wait for the election timeout.
