Never send a request twice on one connection

Cause: a server that refused a request gets it once more with the same id, and the pool takes the connection that was used last. A late second copy of the refusal comes where the next answer is due. Answers are told apart by the id, which is the same for both sends, so the copy passes as the answer to the second send.

Change: a connection remembers the ids of its latest requests and does not carry them again. Another idle connection, a new one, or a new one in place of an idle one is used. If none can be opened, the send fails as not sent. Ruled out: closing a connection after each refusal, which costs a new one for each refusal of a full server. Other paths: peers and own servers tell replies apart by stream and attempt numbers.

--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -42,6 +42,10 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 # After a failed connect, requests to the server fail at once for this long.
 CONNECT_PAUSE_S = 0.2
+# A server may send a second copy of an answer where the next answer is due. The copy
+# of a refusal would pass as the answer to a second send of the same request, so a
+# connection never carries a request again that is among its latest ones.
+REMEMBERED_REQUESTS = 8
 _WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK)
 
 
@@ -88,6 +92,7 @@
         # compared with None; the token itself is not used.
         self._writer_token = None
         self._is_closed = False
+        self._carried_ids = deque(maxlen=REMEMBERED_REQUESTS)
         self.exchange = None
         self.idle_since = trio.current_time()
         self.idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
@@ -96,8 +101,13 @@
         """Return whether the connection has been idle for less than its limit."""
         return now - self.idle_since < self.idle_limit_s
 
+    def may_carry(self, exchange):
+        """Return whether this is no second send of a request on this connection."""
+        return exchange.request_id not in self._carried_ids
+
     def start(self, exchange):
         """Send a request."""
+        self._carried_ids.append(exchange.request_id)
         self.exchange = exchange
         exchange.conn = self
         self._reader.expect(exchange.method, exchange.max_body_bytes)
@@ -244,7 +254,7 @@
         if now >= exchange.deadline_at:
             exchange.finish(Failed(Failure.ABANDONED, may_have_run=False))
             return
-        conn = self._pop_idle(now)
+        conn = self._pop_idle(exchange, now)
         if conn is not None:
             conn.start(exchange)
         elif now < self._connect_paused_until and not self._connections:
@@ -252,6 +262,7 @@
         else:
             self._waiting.append(exchange)
             self._open_connections()
+            self._make_room()
 
     def cancel(self, exchange):
         """Cancel a request: remove it from the queue or close its connection."""
@@ -269,17 +280,12 @@
 
     def release(self, conn):
         """Send the next queued request on a free connection, or keep it idle."""
-        now = trio.current_time()
-        while self._waiting:
-            exchange = self._waiting.popleft()
-            if exchange.is_done:
-                continue
-            if now < exchange.deadline_at:
-                conn.start(exchange)
-                return
-            # The process may have been suspended since the request was queued.
-            exchange.finish(Failed(Failure.ABANDONED, may_have_run=False))
+        exchange = self._pop_waiting(conn, trio.current_time())
+        if exchange is not None:
+            conn.start(exchange)
+            return
         self._idle.append(conn)
+        self._make_room()
 
     def remove(self, conn):
         """Remove a connection that has ended."""
@@ -288,14 +294,43 @@
             self._idle.remove(conn)
         self._open_connections()
 
-    def _pop_idle(self, now):
+    def _pop_idle(self, exchange, now):
         # The most recently used first, so that surplus connections time out.
-        while self._idle:
+        skipped = []
+        found = None
+        while self._idle and found is None:
             conn = self._idle.pop()
-            if conn.is_fresh(now):
-                return conn
-            conn.close()
-        return None
+            if not conn.is_fresh(now):
+                conn.close()
+            elif conn.may_carry(exchange):
+                found = conn
+            else:
+                skipped.append(conn)
+        self._idle += reversed(skipped)
+        return found
+
+    def _pop_waiting(self, conn, now):
+        """Return the first queued request that a connection may carry, or None."""
+        skipped = []
+        found = None
+        while self._waiting and found is None:
+            exchange = self._waiting.popleft()
+            if exchange.is_done:
+                continue
+            if now >= exchange.deadline_at:
+                # The process may have been suspended since the request was queued.
+                exchange.finish(Failed(Failure.ABANDONED, may_have_run=False))
+            elif conn.may_carry(exchange):
+                found = exchange
+            else:
+                skipped.append(exchange)
+        self._waiting.extendleft(reversed(skipped))
+        return found
+
+    def _make_room(self):
+        """Close an idle connection if queued requests need a new one instead."""
+        if self._waiting and self._idle and not self._connecting:
+            self._idle.pop(0).close()
 
     def _dequeue(self, exchange):
         if exchange in self._waiting:
@@ -330,12 +365,15 @@
             conn.give_up()
 
     def _fail_waiting(self):
-        # Open connections serve the queued requests.
-        if self._connections or self._connecting:
+        # Open connections serve the queued requests that they may carry.
+        if self._connecting:
             return
         waiting, self._waiting = self._waiting, deque()
         for exchange in waiting:
-            exchange.finish(Failed(Failure.NO_CONNECTION, may_have_run=False))
+            if any(conn.may_carry(exchange) for conn in self._connections):
+                self._waiting.append(exchange)
+            else:
+                exchange.finish(Failed(Failure.NO_CONNECTION, may_have_run=False))
 
 
 async def _connect(address):
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -359,3 +359,70 @@
             await trio.sleep(0.001)
         patch.setattr(trio.lowlevel, "wait_writable", fail)
         assert await caller.wait() == Failed(Failure.MALFORMED, may_have_run=True)
+
+
+class RefusingServer:
+    """Refuse the first request, and send a second copy of that refusal late.
+
+    The copy follows where the next answer on its connection is due.
+    """
+
+    def __init__(self):
+        self.runs = []
+        self._has_refused = False
+
+    async def serve(self, stream):
+        copy = b""
+        async for data in stream:
+            request_id = data.split()[1].decode().strip("/")
+            if not self._has_refused:
+                self._has_refused = True
+                copy = render(request_id, head=REFUSAL)
+                await stream.send_all(copy)
+                continue
+            self.runs.append(request_id)
+            await stream.send_all(copy + render(request_id))
+            copy = b""
+
+
+@pytest.mark.parametrize("limit", [1, 2])
+@pytest.mark.parametrize("between", [(), ("b",)])
+async def test_copy_of_a_refusal_does_not_answer_a_second_send(nursery, limit, between):
+    """A request that has run must not be reported as refused.
+
+    With ``between``, another request is sent before the second send, and waits for
+    the same connection.
+    """
+    server = RefusingServer()
+    serve = functools.partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1")
+    (listener,) = await nursery.start(serve)
+    address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+    pool = ServerPool(address, response_format, nursery)
+    pool.limit = limit
+    assert isinstance(await Caller(pool, "a").wait(), Refused)
+    others = [Caller(pool, request_id) for request_id in between]
+    outcome = await Caller(pool, "a").wait()
+    assert isinstance(outcome, Answered)
+    assert server.runs.count("a") == 1
+    for other in others:
+        await other.wait()
+    assert pool.size <= limit
+
+
+async def test_second_send_fails_at_once_if_no_other_connection_opens(nursery):
+    """A request must not wait for a connection that may not carry it again."""
+    server = RefusingServer()
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+
+    async def serve_one_connection():
+        async with listener:
+            stream = await listener.accept()
+        await server.serve(stream)
+
+    nursery.start_soon(serve_one_connection)
+    address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+    pool = ServerPool(address, response_format, nursery)
+    pool.limit = 2
+    assert isinstance(await Caller(pool, "a").wait(), Refused)
+    outcome = await Caller(pool, "a").wait()
+    assert outcome == Failed(Failure.NO_CONNECTION, may_have_run=False)
