Reject orders for domains that waited

Cause: a control member that was stopped for 3.5 s read an order from its socket after the operator had given it up, sent it elsewhere and later ordered the opposite. Orders for domains have no version, and neither their age nor their sender was looked at. The record shows the old DELETE applied at the moment of SIGCONT.

Change: a member that did not run for 0.5 s rejects such orders for 1 s; an order is passed on only while its sender waits; and the leader rejects an order if another one for the domain was accepted since the member asked for a ticket. The last bound also covers messages that are late between members.

--- a/src/wisteriaworks/asgi.py
+++ b/src/wisteriaworks/asgi.py
@@ -25,6 +25,12 @@
             return bytes(body)
 
 
+async def wait_for_disconnect(receive):
+    """Wait until the caller closes its connection. Call after the body was read."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 async def send_response(send, status, body, headers=(JSON,)):
     """Send one complete response."""
     length = (b"content-length", str(len(body)).encode())
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -32,6 +32,7 @@
     OperatorCommandClient,
     OperatorCommandService,
 )
+from wisteriaworks.order_age import StallWatch, read_boot_time
 from wisteriaworks.platform import wire
 from wisteriaworks.platform.operator_api import OperatorApi
 from wisteriaworks.replica import Replica
@@ -144,7 +145,9 @@
             nursery.start_soon(
                 keep_running, self._list_follower.run, self._update_server_list
             )
-            app = OperatorApi(OperatorCommandClient(client))
+            stall_watch = StallWatch(read_boot_time())
+            nursery.start_soon(keep_running, stall_watch.run)
+            app = OperatorApi(OperatorCommandClient(client), stall_watch)
             await nursery.start(serve_http, app, cfg.listen)
             task_status.started()
 
--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from wisteriaworks.asgi import read_body, run_lifespan
+from wisteriaworks.asgi import read_body, run_lifespan, wait_for_disconnect
 from wisteriaworks.errors import ERROR_RESPONSES, ErrorKind, RequestError, RunState
 from wisteriaworks.gateway.model import AnswerTimes, CallerRequest, ShardQuery
 from wisteriaworks.gateway.query import (
@@ -237,8 +237,7 @@
 
 async def _cancel_on_disconnect(receive, scope):
     """Cancel the work for a caller once it closes its connection."""
-    while (await receive())["type"] != "http.disconnect":
-        pass
+    await wait_for_disconnect(receive)
     scope.cancel()
 
 
--- a/src/wisteriaworks/operator_commands.py
+++ b/src/wisteriaworks/operator_commands.py
@@ -30,9 +30,12 @@
     ProposeVersion,
     ReadMembers,
     ReadSource,
+    ReadTicket,
     SourceReply,
+    TicketReply,
     Watch,
 )
+from wisteriaworks.order_age import DomainOrders, Ticket, read_boot_time
 
 # Shorter than the one second after which clients give up on a member.
 COMMAND_TIMEOUT_S = 0.9
@@ -79,24 +82,34 @@
         reply = await self._call(ReadSource())
         return reply.version, reply.source
 
-    async def set_domain(self, domain, out):
-        """Take a domain out of service or return it. Raises UnavailableError."""
-        await self._call(OrderDomain(domain=domain, out=out))
+    async def set_domain(self, domain, out, age):
+        """Take a domain out of service or return it, if the order is current.
 
-    async def _call(self, message):
-        reason = ""
+        ``age`` is the OrderAge of the order. Raises UnavailableError.
+        """
+        began_at = trio.current_time()
+        ticket = await self._call(ReadTicket(domain))
+        order = OrderDomain(domain, out, ticket.term, ticket.number)
+        if not age.is_current(read_boot_time()):
+            raise _refuse(order, "the order waited too long, or its sender has left")
+        await self._call(order, COMMAND_TIMEOUT_S - (trio.current_time() - began_at))
+
+    async def _call(self, message, timeout_s=COMMAND_TIMEOUT_S):
         try:
-            reply = await self._client.call(message, COMMAND_TIMEOUT_S)
-            reason = reply.unavailable
+            reply = await self._client.call(message, timeout_s)
         except ControlError as exc:
-            reason = exc.message
-        if reason:
-            call = type(message).__name__
-            log_event(Event.ORDER_NOT_TAKEN, call=call, reason=reason)
-            raise UnavailableError(reason)
+            raise _refuse(message, exc.message) from exc
+        if reply.unavailable:
+            raise _refuse(message, reply.unavailable)
         return reply
 
 
+def _refuse(message, reason):
+    """Log that a command is not taken, and return the error to raise."""
+    log_event(Event.ORDER_NOT_TAKEN, call=type(message).__name__, reason=reason)
+    return UnavailableError(reason)
+
+
 def choose_delegates(watches):
     """Return the gateways whose links are much faster than the slowest link."""
     links = [watch.link_mbps for watch in watches if watch.link_mbps > 0]
@@ -157,6 +170,7 @@
         self._positions = {}
         self._packed_version, self._packed_document = -1, b""
         self._packer = UpdatePacker()
+        self._domain_orders = DomainOrders()
         self._delegates_changed = trio.Event()
         self._delegates = ()
         # Number of delegates, without the reserve.
@@ -168,6 +182,7 @@
             ProposeVersion: self._propose,
             ReadSource: self._read_source,
             OrderDomain: self._set_domain_state,
+            ReadTicket: self._read_ticket,
             Watch: self._watch,
             ReadMembers: self._read_members,
         }
@@ -215,11 +230,37 @@
             log_event(Event.CONFIGURATION_ACCEPTED, version=reply.version)
         return reply
 
+    async def _read_ticket(self, message, send):
+        replica = self._node.replica
+        if self._node.is_stopping or not replica.is_leader:
+            return self._redirect_to_leader()
+        ticket = self._domain_orders.issue(replica.term, message.domain)
+        return TicketReply(term=ticket.term, number=ticket.number)
+
     async def _set_domain_state(self, message, send):
+        if self._is_outdated(message):
+            return SourceReply(
+                version=0, unavailable="a newer order for the domain was accepted"
+            )
         command = SetDomain(message.domain, message.out)
         log_event(Event.DOMAIN_ORDERED, domain=message.domain, out=message.out)
         return await self._submit(command, lambda result: OrderDomainReply())
 
+    def _is_outdated(self, order):
+        """Return whether another order for the domain was accepted since its ticket.
+
+        Orders of this leader reach the log in the sequence of these checks.
+        """
+        replica = self._node.replica
+        if not replica.is_leader:
+            return False
+        ticket = Ticket(order.term, order.number)
+        if not order.term:
+            ticket = self._domain_orders.issue(replica.term, order.domain)
+        return not self._domain_orders.accept(
+            replica.term, order.domain, order.out, ticket
+        )
+
     async def _submit(self, command, make_reply):
         if self._node.is_stopping or not self._node.replica.is_leader:
             return self._redirect_to_leader()
--- a/src/wisteriaworks/platform/operator_api.py
+++ b/src/wisteriaworks/platform/operator_api.py
@@ -1,9 +1,17 @@
 """HTTP interface of the platform's operators, translated into operator commands."""
 
-from wisteriaworks.asgi import read_body, run_lifespan, send_response
+import trio
+
+from wisteriaworks.asgi import (
+    read_body,
+    run_lifespan,
+    send_response,
+    wait_for_disconnect,
+)
 from wisteriaworks.errors import DocumentError, RequestError
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.operator_commands import UnavailableError
+from wisteriaworks.order_age import OrderAge, read_boot_time
 from wisteriaworks.platform.config_format import read_configuration
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -15,11 +23,13 @@
 class OperatorApi:
     """Answer the operators' calls as an ASGI app.
 
-    ``operator_commands`` is an OperatorCommandClient.
+    ``operator_commands`` is an OperatorCommandClient, and ``stall_watch`` the
+    StallWatch of the process.
     """
 
-    def __init__(self, operator_commands):
+    def __init__(self, operator_commands, stall_watch):
         self._operator_commands = operator_commands
+        self._stall_watch = stall_watch
 
     async def __call__(self, scope, receive, send):
         match scope["type"]:
@@ -38,9 +48,7 @@
                 return await self._get()
             if path.startswith(_EVACUATE_PREFIX) and method in _IS_OUT_BY_METHOD:
                 domain = path.removeprefix(_EVACUATE_PREFIX)
-                await self._operator_commands.set_domain(
-                    domain, _IS_OUT_BY_METHOD[method]
-                )
+                await self._set_domain(domain, _IS_OUT_BY_METHOD[method], receive)
                 return 200, b"{}"
         except UnavailableError as exc:
             return 503, exc.message.encode()
@@ -48,6 +56,26 @@
             return 400, exc.message.encode()
         return 404, b"no such call"
 
+    async def _set_domain(self, domain, out, receive):
+        now = read_boot_time()
+        age = OrderAge(now, self._stall_watch.may_have_waited(now))
+        await read_body(receive, MAX_BODY_BYTES)
+
+        async def watch_sender():
+            await wait_for_disconnect(receive)
+            age.has_left = True
+
+        failure = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_sender)
+            try:
+                await self._operator_commands.set_domain(domain, out, age)
+            except UnavailableError as exc:
+                failure = exc
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
     async def _put(self, body):
         try:
             change = read_configuration(body)
