--- a/src/wisteriaworks/document_checks.py
+++ b/src/wisteriaworks/document_checks.py
@@ -11,6 +11,7 @@
 NAME_PATTERN = "^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
 _NAME = re.compile(NAME_PATTERN)
 _MAX_PORT = 65535
+_MAX_PORT_DIGITS = 5
 
 
 def list_rule_problems(document):
@@ -116,7 +117,9 @@
         socket.inet_pton(socket.AF_INET, host)
     except (OSError, ValueError):
         return False
-    return port.isascii() and port.isdigit() and 1 <= int(port) <= _MAX_PORT
+    # The length is checked first, since int() rejects thousands of digits.
+    is_number = port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS
+    return is_number and 1 <= int(port) <= _MAX_PORT
 
 
 def _check_uniqueness(document):
