Answer requests that outlast a planned stop

Callers saw: at the end of a planned stop, requests that still ran were cut with no answer.

Cause: drain waited for the running requests, and the end of stop_timeout_s cancelled them together with their connections.

Change: 0.25 s before the end each of them is answered with 504, which states nothing about a run.

test_request_that_outlasts_a_stop_gets_an_answer (real programs, SIGTERM) failed before: the server disconnected without a response. It passes now.

--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -67,6 +67,8 @@
         # Set once the HTTP server closes connections. It may close the connection of
         # a request that it has just read, so such a request must not be passed on.
         self.is_closing = False
+        # Set shortly before the process ends; requests without an answer get one then.
+        self._must_end = trio.Event()
         self.running = 0
         # Parts that this gateway gathers for others.
         self.gathering_parts = 0
@@ -87,6 +89,10 @@
             case "http":
                 await self._serve(scope, receive, send)
 
+    def end_requests(self):
+        """Answer all running requests now."""
+        self._must_end.set()
+
     async def _serve(self, scope, receive, send):
         arrived_at = trio.current_time()
         self.running += 1
@@ -124,12 +130,21 @@
         answer = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+            nursery.start_soon(self._cancel_at_end, nursery.cancel_scope)
             answer = await self._answer(request, route, routes, arrived_at)
             nursery.cancel_scope.cancel()
+        if answer is None and self._must_end.is_set():
+            # A server may be at work on the request, so it must not count as not run.
+            result = Unserved(UnservedReason.DEADLINE, may_have_run=True)
+            return self._make_answer(result, route, request, arrived_at)
         if answer is None:
             self._log.record_disconnect(route, request, arrived_at)
         return answer
 
+    async def _cancel_at_end(self, scope):
+        await self._must_end.wait()
+        scope.cancel()
+
     async def decline_delegated_query(self, message, send):
         """Decline a query of a gateway of an older version; a handler of RpcServer."""
         return HandedAnswer(taken=False)
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -33,6 +33,9 @@
 # Interval of the check whether the gateway has to read the server list itself.
 LIST_CHECK_S = 0.25
 DRAIN_INTERVAL_S = 0.05
+# Time before the end of a stop at which running requests are answered, so that the
+# answers can still be sent.
+END_MARGIN_S = 0.25
 BACKLOG = 1024
 MAX_REQUESTS_PER_CONNECTION = 1_000_000
 
@@ -142,7 +145,12 @@
         await serving(self.app, self._http, task_status=task_status)
 
     async def drain(self):
-        """Stop being ready, finish running requests, and close connections."""
+        """Stop being ready, finish running requests, and close connections.
+
+        Requests that still run shortly before the end of the time for a stop are
+        answered without a result.
+        """
+        end_at = trio.current_time() + self._cfg.stop_timeout_s - END_MARGIN_S
         self.app.is_stopping = True
         if self._peer_server is not None:
             self._peer_server.announce_stop()
@@ -150,6 +158,8 @@
         self.app.is_closing = True
         self._stop.set()
         while self.app.running:
+            if trio.current_time() >= end_at:
+                self.app.end_requests()
             await trio.sleep(DRAIN_INTERVAL_S)
         await trio.sleep(DRAIN_INTERVAL_S)
 
