Choose the longest silent voter without a look-up that can fail

A voter of which the leader has no time of contact would have ended the choice with a KeyError for a learner that was seen in the same moment.

--- a/src/wisteriaworks/membership_repair.py
+++ b/src/wisteriaworks/membership_repair.py
@@ -76,17 +76,17 @@
     """
     learner = learners[0]
     waiting_s = (waiting or {}).get(learner.id, math.inf)
-    unheard = [
-        member
-        for member in others
-        if member.voter and silence.get(member.id, 0.0) >= waiting_s
-    ]
-    # Without one of the others, but with this member, which leads.
-    remaining = sum(member.voter for member in others)
-    if not unheard or remaining + len(learners) < minimum_voters:
+    voters = [member for member in others if member.voter]
+    silent_s, longest_silent = max(
+        ((silence.get(member.id, 0.0), member) for member in voters),
+        key=lambda pair: pair[0],
+        default=(0.0, None),
+    )
+    # This member, which leads, is a voter too, so the removal leaves len(voters).
+    is_group_large_enough = len(voters) + len(learners) >= minimum_voters
+    if not voters or silent_s < waiting_s or not is_group_large_enough:
         return MemberAction.PROMOTE, learner
-    longest_silent = max(unheard, key=lambda member: silence[member.id])
-    if silence[longest_silent.id] > RECENT_CONTACT_S:
+    if silent_s > RECENT_CONTACT_S:
         return MemberAction.REMOVE, longest_silent
     return None
 
