--- a/review/stand_ins_2/platform_system.py
+++ b/review/stand_ins_2/platform_system.py
@@ -276,8 +276,8 @@
     """Serve the platform's list of servers, ``PAGE_SIZE`` entries a page.
 
     ``foreign`` are the bytes of entries of other writers, by position in the list.
-    ``before_page(number, peer)`` is awaited before a page is sent, after its content
-    has been read.
+    ``before_page(number)`` is awaited between the reading of a page's content and the
+    sending of the page.
     """
 
     def __init__(self, record, servers, host):
@@ -310,7 +310,7 @@
                 number = int(match[1]) if match else 0
                 body = self._make_page(number)
                 if self.before_page is not None:
-                    await self.before_page(number, writer)
+                    await self.before_page(number)
                 await _answer(
                     writer, "200 OK", "Content-Type: application/json\r\n", body
                 )
@@ -339,7 +339,9 @@
     def __init__(self, record, network, folder, gateways):
         self._record = record
         self._folder = Path(folder)
-        self.list_address = f"{network}.200:{LIST_PORT}"
+        # Address of the platform's list, by the name of the role that reads it.
+        list_address = f"{network}.200:{LIST_PORT}"
+        self.list_addresses = {"control": list_address, "gateway": list_address}
         self.machines = [
             self._make_machine(number, f"{network}.{10 + number}", gateways)
             for number in range(max(gateways, len(ZONES)))
@@ -432,7 +434,7 @@
             "dataDir": str(machine.folder / "data"),
             "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
-            "cloudApi": {"address": self.list_address, "ratePerS": 46.0},
+            "cloudApi": {"address": self.list_addresses[role], "ratePerS": 46.0},
         }
 
     # Calls
