--- a/review/stand_ins_2/platform_system.py
+++ b/review/stand_ins_2/platform_system.py
@@ -57,7 +57,8 @@
 DRAIN_S = BOUNDS["drainMs"] / 1000
 CONTACT_S = BOUNDS["contactWindowMs"] / 1000
 EVACUATION_S = BOUNDS["evacuationMs"] / 1000
-START_TIMEOUT_S = 30.0
+COLD_START_S = 3.0
+LIST_LAG_S = 0.8
 # A case has 120 s, and this leaves time to end the processes.
 CASE_TIMEOUT_S = 110.0
 MAX_LINE_BYTES = 2**20
@@ -139,6 +140,9 @@
         self.slots = slots
         self.state = "ready"
         self.work_s = 0.02
+        # Time of the record until which the server is cold, and until when the list
+        # does not show that yet.
+        self.cold_until = self.cold_listed_at = 0.0
         self.arrivals = []
         self._queue = queue
         self._record = record
@@ -157,10 +161,21 @@
             "version": "v1",
             "maxConcurrency": self.slots,
             "state": self.state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self._read_listed_cold_ms(),
             "id": self.id,
         }
 
+    def become_cold(self, cold_s, list_lag_s):
+        """Become cold again, which the list shows after its lag."""
+        now = self._record.now()
+        self.cold_until, self.cold_listed_at = now + cold_s, now + list_lag_s
+        self._record.write(f"{self.id} is cold for {cold_s:g} s")
+
+    def _read_listed_cold_ms(self):
+        now = self._record.now()
+        left_s = self.cold_until - now if now >= self.cold_listed_at else 0.0
+        return max(0, round(left_s * 1000))
+
     async def start(self):
         """Listen for connections."""
         self._listener = await asyncio.start_server(
@@ -192,7 +207,9 @@
         request_id = headers.get("x-wisteriaworks-request-id")
         if request_id is None:
             status = "200 OK" if target == "/healthz" else "400 Bad Request"
+            cold_ms = max(0, round((self.cold_until - self._record.now()) * 1000))
             extra = f"X-Wisteriaworks-Instance-Id: {self.id}\r\n"
+            extra += f"X-Wisteriaworks-Cold-Start-Ms: {cold_ms}\r\n"
             await _answer(writer, status, extra, b"")
             return True
         echo = f"X-Wisteriaworks-Request-Id: {request_id}\r\n"
@@ -445,10 +462,10 @@
         await self._order("PUT", "/api/config", body)
         self._record.write(f"configuration {document['version']} acknowledged")
 
-    async def evacuate(self, zone):
-        """Take a zone out of service, as an operator does."""
-        await self._order("POST", f"/api/evacuate/{zone}", b"")
-        self._record.write(f"evacuation of {zone} acknowledged")
+    async def evacuate(self, zone, method="POST"):
+        """Take a zone out of service or, with the method DELETE, back into it."""
+        await self._order(method, f"/api/evacuate/{zone}", b"")
+        self._record.write(f"{method} of the evacuation of {zone} acknowledged")
 
     async def _order(self, method, path, body):
         for machine in itertools.cycle(self.controls):
@@ -553,7 +570,7 @@
         return dict(sorted(counts.items()))
 
 
-def make_configuration(version, routes, services, max_connections):
+def make_configuration(version, routes, services, max_connections, cold_per_s=0.0):
     """Return a configuration; ``routes`` lack the fields that all of them share."""
     common = {"hostname": HOSTNAME, "priority": 2}
     return {
@@ -566,8 +583,8 @@
                 "maxConnections": max_connections,
                 "protocol": "h1",
                 "tlsEnabled": False,
-                "coldStartS": 3.0,
-                "coldPerS": 0.0,
+                "coldStartS": COLD_START_S,
+                "coldPerS": cold_per_s,
             }
             for name in services
         ],
