Use the list of servers whose reading began last

Cause: a gateway that has heard nothing of a leader for 2 s reads the list itself. The need was checked before the read only, and its result replaced the list that the next leader had sent meanwhile. The leader sends changes only, so it never repaired what the read had undone.

Change: a list is as old as the beginning of its reading, on the clock that also counts a suspended VM. Updates state the age of the leader's list. ServerLists keeps that list up to date and beside it the newest other one; the gateway uses the newer of both. Event 711 and a gauge show lists that are not used and the age of the one in use.

Same cause on related paths: a member that lost and won the leadership during a read passed the old list on, and a wake-up during a read was lost, so each change of leadership now drops the read; members named by an outdated update are ignored.

ServerTable.change has no caller any more, so callers of replace use assign.

--- a/bench/capacity_gateway.py
+++ b/bench/capacity_gateway.py
@@ -22,6 +22,7 @@
 )
 from wisteriaworks.gateway.query import Query
 from wisteriaworks.gateway.request_log import RequestLog
+from wisteriaworks.gateway.server_table import make_known_servers
 from wisteriaworks.generated.document import Document, Route
 from wisteriaworks.generated.messages import FleetUpdate, ListedServer, Watch
 from wisteriaworks.generated.settings import GatewaySettings, LogSettings
@@ -70,7 +71,7 @@
 
 def _make_fleet(now=0.0):
     fleet = ServerFleet.create(_make_settings(), random.Random(1), now)
-    fleet.table.replace((), now)
+    fleet.table.assign({})
     return fleet
 
 
@@ -163,7 +164,7 @@
     """Return the cost of the decisions for one query, without I/O."""
     fleet = _make_fleet(-60.0)
     services = tuple(f"s{n}" for n in range(size))
-    fleet.table.replace(_make_servers(2 * size), 0.0)
+    fleet.table.assign(make_known_servers(_make_servers(2 * size), 0.0))
     route = Route(
         name="r",
         host="h",
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -10,6 +10,7 @@
 from wisteriaworks.admin import AdminApp, serve_http
 from wisteriaworks.assigner import Assigner
 from wisteriaworks.background import keep_running
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.consensus_timing import Timing
 from wisteriaworks.control_client import ControlClient
 from wisteriaworks.control_node import ControlNode
@@ -32,7 +33,7 @@
     OperatorCommandClient,
     OperatorCommandService,
 )
-from wisteriaworks.order_age import StallWatch, read_boot_time
+from wisteriaworks.order_age import StallWatch
 from wisteriaworks.platform import wire
 from wisteriaworks.platform.operator_api import OperatorApi
 from wisteriaworks.replica import Replica
@@ -123,7 +124,7 @@
         if not leadership.is_leader:
             # If this member leads again, servers may have left in the meantime.
             self._directory.clear()
-        if self._list_follower is not None and leadership.is_leader:
+        if self._list_follower is not None:
             self._list_follower.wake()
 
     async def _serve_operators(self, cfg, *, task_status):
@@ -166,8 +167,8 @@
         members = [m.address for m in self._node.replica.members]
         return tuple(dict.fromkeys([self._cfg.address, *members, *seeds]))
 
-    def _update_server_list(self, servers):
-        if self._directory.replace(servers, trio.current_time()):
+    def _update_server_list(self, servers, read_at):
+        if self._directory.replace(servers, trio.current_time(), read_at):
             self._operator_commands.notify()
 
     def _render_page(self, path):
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -102,6 +102,9 @@
     CALLER_GONE = _Spec(708, "INFO", "caller disconnected before its answer")
     GATEWAY_READY = _Spec(709, "INFO", "gateway is ready for callers")
     SERVER_AVOIDED = _Spec(710, "INFO", "server is avoided for a time")
+    LIST_OUTDATED = _Spec(
+        711, "INFO", "a list of servers is not used: its reading began earlier"
+    )
 
 
 def log_failure(exc, **fields):
--- a/src/wisteriaworks/gateway/control_watch.py
+++ b/src/wisteriaworks/gateway/control_watch.py
@@ -145,8 +145,8 @@
                             return ""
                         is_followed = True
                         log_event(Event.LEADER_WATCHED, address=channel.address)
-                    self._members = reply.members
-                    self._state.apply_update(unpack_update(reply))
+                    if self._state.apply_update(unpack_update(reply)):
+                        self._members = reply.members
                 hint = reply.leader if reply is not None else ""
                 reason = reason if reply is not None else silence
         except RpcError as exc:
--- a/src/wisteriaworks/gateway/gateway_state.py
+++ b/src/wisteriaworks/gateway/gateway_state.py
@@ -4,10 +4,13 @@
 
 import trio
 
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.document_codec import unpack_document
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.gateway.fleet_shares import FleetShares, Role
 from wisteriaworks.gateway.route_index import RouteIndex
+from wisteriaworks.gateway.server_lists import ServerLists
+from wisteriaworks.gateway.server_table import make_known_servers
 from wisteriaworks.generated.document import Document
 
 
@@ -28,6 +31,8 @@
         self._state_index = 0
         self.routes = RouteIndex(Document(), 0)
         self.updated_at = -math.inf
+        self._lists = ServerLists()
+        self._servers_in_use = None
         self._is_list_read_directly = False
         # Called with the gateways that accept delegated queries.
         self.on_delegates = lambda delegates: None
@@ -37,21 +42,21 @@
         """Return whether a configuration and a list of servers have arrived."""
         return self.routes.version > 0 and self._fleet.table.is_filled
 
+    @property
+    def list_age_s(self):
+        """Return the seconds since the reading of the list in use began."""
+        return read_boot_time() - self._lists.current.read_at
+
     def apply_update(self, update):
-        """Apply an update from a leader, unless it is outdated."""
+        """Apply an update from a leader and return whether it is not outdated."""
         # A deposed leader that does not know it yet may send older state.
         if update.state_index < self._state_index:
-            return
+            return False
         now = self.updated_at = trio.current_time()
         self._is_list_read_directly = False
         is_changed = self._apply_configuration(update)
-        table = self._fleet.table
-        if update.list_read and update.full:
-            table.replace(update.servers, now)
-            is_changed = True
-        elif update.list_read and (update.servers or update.removed):
-            table.change(update.servers, update.removed, now)
-            is_changed = True
+        if update.list_read:
+            is_changed |= self._apply_leader_list(update, now)
         if update.delegates is not None:
             self._role = _find_role(self._name, update.delegates)
             self.delegate_count = sum(not d.is_reserve for d in update.delegates)
@@ -60,15 +65,53 @@
         self._fleet.set_shares(shares, update.position, now)
         if is_changed:
             self._on_change(self.routes.document)
+        return True
+
+    def apply_direct_list(self, entries, read_at):
+        """Apply a list that this gateway has read itself, unless it is outdated.
 
-    def apply_list(self, servers):
-        """Apply a server list that the gateway has read itself."""
+        ``read_at`` is the boot time at which its reading began.
+        """
+        servers = make_known_servers(entries, trio.current_time())
+        if not self._lists.add_direct_list(servers, read_at):
+            self._log_outdated_list("platform", read_at)
+            return
         if not self._is_list_read_directly:
             log_event(Event.LIST_READ_DIRECTLY, servers=len(servers))
         self._is_list_read_directly = True
-        self._fleet.table.replace(servers, trio.current_time())
+        self._use_current_list()
         self._on_change(self.routes.document)
 
+    def _apply_leader_list(self, update, now):
+        """Apply the list of an update; return whether the servers in use change."""
+        read_at = read_boot_time() - update.list_age_s
+        servers = make_known_servers(update.servers, now)
+        if not update.full:
+            self._lists.change_leader_list(servers, update.removed, read_at)
+            return self._use_current_list()
+        self._lists.replace_leader_list(servers, read_at)
+        if self._lists.current.servers is not servers:
+            self._log_outdated_list("control", read_at)
+        return self._use_current_list()
+
+    def _use_current_list(self):
+        """Use the newest list; return whether it is another one than before."""
+        servers = self._lists.current.servers
+        if servers is self._servers_in_use:
+            return False
+        self._servers_in_use = servers
+        self._fleet.table.assign(servers)
+        return True
+
+    def _log_outdated_list(self, source, read_at):
+        age_s = read_boot_time() - read_at
+        log_event(
+            Event.LIST_OUTDATED,
+            source=source,
+            age_ms=math.floor(age_s * 1000),
+            used_age_ms=math.floor(self.list_age_s * 1000),
+        )
+
     def _apply_configuration(self, update):
         self._state_index = update.state_index
         self._fleet.table.set_domains_out(update.domains_out)
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -125,6 +125,11 @@
             "Servers in the list",
             lambda: len(fleet.table.list_ids()),
         )
+        create_gauge(
+            "wisteria.gateway.list.age",
+            "Seconds since the reading of the list of servers in use began",
+            lambda: state.list_age_s,
+        )
         create_gauge(
             "wisteria.gateway.fleet.size",
             "Gateways that share the budgets",
@@ -187,7 +192,9 @@
 
         await trio.sleep(SILENCE_TIMEOUT_S)
         reader = ListReader(self._cfg.server_list, wire)
-        await ListFollower(reader, LIST_CHECK_S, is_required).run(state.apply_list)
+        await ListFollower(reader, LIST_CHECK_S, is_required).run(
+            state.apply_direct_list
+        )
 
 
 def _make_http_config(cfg):
--- a/src/wisteriaworks/gateway/server_table.py
+++ b/src/wisteriaworks/gateway/server_table.py
@@ -22,8 +22,13 @@
         return now < self.cold_until
 
 
+def make_known_servers(entries, now):
+    """Return listed servers by id; ``now`` is the time of their receipt."""
+    return {entry.id: KnownServer(entry, now + entry.cold_s) for entry in entries}
+
+
 class ServerTable:
-    """Store the listed servers by service and by id."""
+    """Store the servers of the list in use, by service and by id."""
 
     def __init__(self):
         self._servers = {}
@@ -64,26 +69,12 @@
             self._domains_out = domains_out
             self.revision += 1
 
-    def replace(self, entries, now):
-        """Replace all servers."""
-        self._servers = {entry.id: self._make_server(entry, now) for entry in entries}
-        self._index()
-
-    def change(self, entries, removed, now):
-        """Add or replace some servers and remove others."""
-        for server_id in removed:
-            self._servers.pop(server_id, None)
-        for entry in entries:
-            self._servers[entry.id] = self._make_server(entry, now)
-        self._index()
-
-    def _make_server(self, entry, now):
-        return KnownServer(entry, now + entry.cold_s)
-
-    def _index(self):
+    def assign(self, servers):
+        """Replace all servers by a map of them by id, which must not change later."""
+        self._servers = servers
         self.is_filled = True
         self.revision += 1
         by_service = {}
-        for server in self._servers.values():
+        for server in servers.values():
             by_service.setdefault(server.entry.service, []).append(server)
         self._by_service = by_service
--- a/src/wisteriaworks/list_reader.py
+++ b/src/wisteriaworks/list_reader.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.errors import WisteriaError
 from wisteriaworks.events import Event, log_event
 
@@ -95,31 +96,39 @@
 
 
 class ListFollower:
-    """Read the list at intervals while it is required; ``wake`` checks at once."""
+    """Read the list at intervals while it is required.
+
+    ``wake`` drops a read that is in progress, since the reason for it may have ended
+    in the meantime, and checks at once whether the list is required.
+    """
 
     def __init__(self, reader, interval_s, is_required):
         self._reader = reader
         self._interval_s = interval_s
         self._is_required = is_required
         self._changed = trio.Event()
+        self._read_scope = trio.CancelScope()
 
     def wake(self):
-        """Check at once whether the list is required."""
+        """Drop a read in progress and check whether the list is required."""
+        self._read_scope.cancel()
         self._changed.set()
 
     async def run(self, on_list):
-        """Call ``on_list`` with each list until cancelled."""
-        pool = None
+        """Call ``on_list`` with each list and the boot time at which its read began."""
         async with contextlib.AsyncExitStack() as stack:
+            pool = None
             while True:
+                self._changed = trio.Event()
                 if self._is_required():
                     pool = pool or await stack.enter_async_context(open_pool())
-                    servers = await self._reader.read(pool)
-                    if servers is not None:
-                        on_list(servers)
-                await self._wait()
-
-    async def _wait(self):
-        self._changed = trio.Event()
-        with trio.move_on_after(self._interval_s):
-            await self._changed.wait()
+                    await self._read(pool, on_list)
+                with trio.move_on_after(self._interval_s):
+                    await self._changed.wait()
+
+    async def _read(self, pool, on_list):
+        began_at, servers = read_boot_time(), None
+        with trio.CancelScope() as self._read_scope:
+            servers = await self._reader.read(pool)
+        if servers is not None and not self._read_scope.cancel_called:
+            on_list(servers, began_at)
--- a/src/wisteriaworks/operator_commands.py
+++ b/src/wisteriaworks/operator_commands.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.document_codec import pack_document
 from wisteriaworks.errors import (
     ControlError,
@@ -35,7 +36,7 @@
     TicketReply,
     Watch,
 )
-from wisteriaworks.order_age import DomainOrders, Ticket, read_boot_time
+from wisteriaworks.order_age import DomainOrders, Ticket
 
 # Shorter than the one second after which clients give up on a member.
 COMMAND_TIMEOUT_S = 0.9
@@ -380,6 +381,7 @@
         directory = self._directory
         changes, packed = self._packer.pack_changes(directory, revision, now)
         is_newer = machine.version > version
+        is_list_read = changes.revision > 0
         update = FleetUpdate(
             state_index=machine.applied_index,
             config_version=machine.version,
@@ -388,7 +390,8 @@
             gateways=max(machine.gateways, self.watcher_count),
             position=self._positions[watch.name],
             delegate_count=max(machine.delegates, self.delegate_count),
-            list_read=changes.revision > 0,
+            list_read=is_list_read,
+            list_age_s=read_boot_time() - directory.read_at if is_list_read else 0.0,
             full=changes.full,
             servers=() if watch.reads_packed else changes.servers,
             removed=() if watch.reads_packed else changes.removed,
--- a/src/wisteriaworks/order_age.py
+++ b/src/wisteriaworks/order_age.py
@@ -5,11 +5,12 @@
 opposite. An order that waited must not be carried out after a newer one.
 """
 
-import time
 from dataclasses import dataclass
 
 import trio
 
+from wisteriaworks.clocks import read_boot_time
+
 BEAT_INTERVAL_S = 0.2
 # A process that did not run for this long may have orders that waited in its sockets.
 STALL_S = 0.5
@@ -20,11 +21,6 @@
 MAX_ORDER_AGE_S = 0.9
 
 
-def read_boot_time():
-    """Return the seconds since boot, which include the time of a suspended VM."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class StallWatch:
     """Notice that the process did not run for a while."""
 
--- a/src/wisteriaworks/platform/operator_api.py
+++ b/src/wisteriaworks/platform/operator_api.py
@@ -8,10 +8,11 @@
     send_response,
     wait_for_disconnect,
 )
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.errors import DocumentError, RequestError
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.operator_commands import UnavailableError
-from wisteriaworks.order_age import OrderAge, read_boot_time
+from wisteriaworks.order_age import OrderAge
 from wisteriaworks.platform.config_format import read_configuration
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
--- a/src/wisteriaworks/server_directory.py
+++ b/src/wisteriaworks/server_directory.py
@@ -1,5 +1,6 @@
 """Servers that the platform lists, with the revision of each change."""
 
+import math
 from dataclasses import dataclass
 
 from wisteriaworks.generated.messages import ListedServer
@@ -31,14 +32,17 @@
 
     def __init__(self):
         self.revision = 0
+        # Boot time at which the reading of the list began.
+        self.read_at = -math.inf
         # Number of the lists that were forgotten; the revisions of each begin anew.
         self.generation = 0
         self._records = {}
         self._removed = {}
 
-    def replace(self, entries, now):
-        """Replace the list and return whether anything changed."""
+    def replace(self, entries, now, read_at):
+        """Replace the list and return whether any server changed."""
         before = self.revision
+        self.read_at = read_at
         if before == 0:
             self.revision = 1
         by_id = {entry.id: entry for entry in entries}
@@ -53,6 +57,7 @@
     def clear(self):
         """Forget the list, which counts as not read until it is replaced."""
         self.revision = 0
+        self.read_at = -math.inf
         self.generation += 1
         self._records.clear()
         self._removed.clear()
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -4,6 +4,7 @@
 
 from wisteriaworks.gateway.forwarder import ServerFleet
 from wisteriaworks.gateway.model import ServerAnswer
+from wisteriaworks.gateway.server_table import make_known_servers
 from wisteriaworks.generated.document import Document, Route, Service, ServiceShare
 from wisteriaworks.generated.messages import ListedServer
 from wisteriaworks.generated.settings import BudgetSettings, GatewaySettings
@@ -38,7 +39,7 @@
 def make_fleet(entries, budget=AMPLE_BUDGET, seed=1):
     """Return a fleet whose servers have been listed since time 0."""
     fleet = ServerFleet.create(make_settings(budget), random.Random(seed), -60.0)
-    fleet.table.replace(entries, 0.0)
+    fleet.table.assign(make_known_servers(entries, 0.0))
     return fleet
 
 
--- a/tests/gateway/test_control_watch.py
+++ b/tests/gateway/test_control_watch.py
@@ -173,6 +173,24 @@
     assert state.updated_at == updated_at
 
 
+async def test_members_of_an_outdated_update_are_ignored(nursery, state):
+    """A deposed leader names members that may have been replaced since."""
+
+    async def send_updates(message, send):
+        send(make_update(2, members=("127.0.0.8:1",)))
+        send(make_update(1, members=("127.0.0.9:1",)))
+        await trio.sleep_forever()
+
+    address = f"127.0.0.1:{find_free_ports(1)[0]}"
+    await nursery.start(RpcServer({Watch: send_updates}).serve, address)
+    port = int(address.rpartition(":")[2])
+    watch = ControlWatch(make_settings(seeds=(address,), member_port=port), state)
+    nursery.start_soon(watch.run)
+    await wait_until(lambda: state.updated_at > 0)
+    await trio.sleep(0.1)
+    assert watch._members == ("127.0.0.8:1",)
+
+
 class StandInReplica:
     """Lead or not, with a confirmation that may fail."""
 
--- a/tests/gateway/test_fleet_updates.py
+++ b/tests/gateway/test_fleet_updates.py
@@ -25,7 +25,7 @@
 
 def make_directory():
     directory = ServerDirectory()
-    directory.replace(SERVERS, 0.0)
+    directory.replace(SERVERS, 0.0, 0.0)
     return directory
 
 
@@ -50,7 +50,7 @@
     packer, directory = UpdatePacker(), make_directory()
     first = packer.pack_changes(directory, 0, 1.0)
     assert packer.pack_changes(directory, 0, 1.05) is first
-    directory.replace(SERVERS[1:], 2.0)
+    directory.replace(SERVERS[1:], 2.0, 2.0)
     later = packer.pack_changes(directory, first[0].revision, 2.0)
     assert later[0].removed == (SERVERS[0].id,)
     for number in range(3 * MAX_PACKED):
@@ -63,7 +63,7 @@
     packer, directory = UpdatePacker(), make_directory()
     packer.pack_changes(directory, 0, 1.0)
     directory.clear()
-    directory.replace([*SERVERS[1:], make_entry("new")], 1.0)
+    directory.replace([*SERVERS[1:], make_entry("new")], 1.0, 1.0)
     changes, _ = packer.pack_changes(directory, 0, 1.0)
     assert SERVERS[0] not in changes.servers
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -9,6 +9,7 @@
 
 from wisteriaworks.gateway.forwarder import Forwarder
 from wisteriaworks.gateway.model import AnswerTimes, CallerRequest
+from wisteriaworks.gateway.server_table import make_known_servers
 from wisteriaworks.metrics import create_unexported_metrics
 from wisteriaworks.platform import wire
 
@@ -43,7 +44,7 @@
     nursery.start_soon(forwarder.sweep)
     addresses = [await start_silent_server(nursery, requests) for _ in range(2)]
     entries = [make_entry(f"i{n}", address=a) for n, a in enumerate(addresses)]
-    forwarder.fleet.table.replace(entries, trio.current_time())
+    forwarder.fleet.table.assign(make_known_servers(entries, trio.current_time()))
     route = make_route(idempotent=True, timeout_ms=60_000)
     request = CallerRequest(b"GET", b"/p/x", route.host, (), b"", b"id1", float("inf"))
     times = make_times(trio.current_time())
@@ -85,7 +86,7 @@
     forwarder = Forwarder(make_settings(), wire, nursery, create_unexported_metrics())
     address = await start_server_at_reused_address(nursery, requests)
     entries = [make_entry("i1", address=address)]
-    forwarder.fleet.table.replace(entries, trio.current_time())
+    forwarder.fleet.table.assign(make_known_servers(entries, trio.current_time()))
     route = make_route(idempotent=True, timeout_ms=60_000)
     for _ in range(5):
         times = make_times(trio.current_time())
--- a/tests/gateway/test_gathering.py
+++ b/tests/gateway/test_gathering.py
@@ -18,7 +18,7 @@
 from wisteriaworks.gateway.group_query import GroupQuery
 from wisteriaworks.gateway.model import Answered, AnswerTimes, Failed, Failure
 from wisteriaworks.gateway.query import GatheredAnswer, Unserved, UnservedReason
-from wisteriaworks.gateway.server_table import ServerTable
+from wisteriaworks.gateway.server_table import ServerTable, make_known_servers
 from wisteriaworks.generated.messages import Delegate
 
 DOMAINS = ("d0", "d1", "d2", "d3", "d4", "d5")
@@ -36,7 +36,7 @@
         for n, shard in enumerate(SHARDS)
         for c in (0, 1)
     ]
-    table.replace(entries, 0.0)
+    table.assign(make_known_servers(entries, 0.0))
     return table
 
 
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -113,10 +113,15 @@
 
 
 class _List:
-    """Serve the list of servers, two entries a page."""
+    """Serve the list of servers, two entries a page.
+
+    ``before_page(start)`` is awaited between the reading of a page's entries and its
+    sending; ``start`` is the position of its first entry.
+    """
 
     def __init__(self, servers):
         self._servers = servers
+        self.before_page = _send_at_once
 
     async def __call__(self, scope, receive, send):
         if scope["type"] == "lifespan":
@@ -126,9 +131,14 @@
         page = [server.describe() for server in self._servers[start : start + 2]]
         more = str(start + 2) if start + 2 < len(self._servers) else None
         body = json.dumps({"instances": page, "nextPageToken": more})
+        await self.before_page(start)
         await send_response(send, 200, body.encode())
 
 
+async def _send_at_once(start):
+    pass
+
+
 class StandInSystem:
     """Run control members and gateways in this process."""
 
@@ -149,6 +159,7 @@
         self._domains = domains
         self._ports = find_free_ports(4 + 3 * gateways)
         self._list = f"127.0.0.1:{self._ports[3]}"
+        self.list = _List(servers)
         self._gateway_ports = self._ports[4 : 4 + 2 * gateways]
         self._peer_ports = self._ports[4 + 2 * gateways :]
         self.hosts = [f"127.0.0.{n + 1}" for n in range(members)]
@@ -172,7 +183,7 @@
             serve = functools.partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1")
             (listener,) = await self._nursery.start(serve)
             server.address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
-        await self._nursery.start(serve_http, _List(self.servers), self._list)
+        await self._nursery.start(serve_http, self.list, self._list)
 
     def make_control_settings(self, host, found=False):
         """Return the settings of one control member."""
--- a/tests/test_order_age.py
+++ b/tests/test_order_age.py
@@ -4,6 +4,7 @@
 import trio
 import trio.testing
 
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.errors import ControlError
 from wisteriaworks.generated.messages import (
     OrderDomain,
@@ -21,7 +22,6 @@
     OrderAge,
     StallWatch,
     Ticket,
-    read_boot_time,
 )
 from wisteriaworks.platform.operator_api import OperatorApi
 
