Count the silence of a learner from its admission

Cause: a learner that is silent for 30 s is removed. One that had not answered yet counted as silent since the leader's election, so under a leader older than 30 s it was removed by the next check, each 0.25 s, if that came before its first answer. It asks again each 0.5 s, a multiple of that interval, so the next attempt tends to fail as well. VMs that replace others join in the same way.

Change: the silence of a learner counts at most from its admission, and one that is removed begins anew.

Test: test_learner_is_not_removed_before_its_first_answer failed before, as the learner was removed at the first check.

--- a/src/wisteriaworks/membership_repair.py
+++ b/src/wisteriaworks/membership_repair.py
@@ -61,6 +61,8 @@
         silent_s = silence.get(member.id, 0.0)
         if member.voter and voters > minimum_voters and silent_s > SILENT_VOTER_S:
             return MemberAction.REMOVE, member
+        # A learner that was just added has not answered this leader yet.
+        silent_s = min(silent_s, (waiting or {}).get(member.id, math.inf))
         if not member.voter and silent_s > SILENT_LEARNER_S:
             return MemberAction.REMOVE, member
     return None
@@ -128,6 +130,8 @@
         if change is not None:
             action, member = change
             await replica.change_members(action, member.id, member.address)
+            # If it joins again before the next check, it begins anew.
+            self._learners.pop(member.id, None)
 
 
 async def join_group(node, client):
--- a/tests/test_membership_repair.py
+++ b/tests/test_membership_repair.py
@@ -1,12 +1,17 @@
 """Guard against a group that does not replace a member or shrinks too far."""
 
+import math
+from types import SimpleNamespace
+
 import pytest
+import trio
 
 from wisteriaworks.generated.consensus import Member
 from wisteriaworks.generated.messages import MemberAction
 from wisteriaworks.membership_repair import (
     SILENT_LEARNER_S,
     SILENT_VOTER_S,
+    MembershipRepairer,
     choose_change,
 )
 
@@ -41,6 +46,37 @@
     assert late == (MemberAction.REMOVE, "b/1")
 
 
+class StandInReplica:
+    """Lead a group for a minute; its learner has not answered yet."""
+
+    def __init__(self):
+        self.is_leader, self.id = True, "a/1"
+        self.became_leader_at = trio.current_time() - 60.0
+        self.members = make_members("a/1", "b/1", "c/1", "d/1", learners=("d/1",))
+        self.last_contacts = {"d/1": -math.inf}
+        self.changes = []
+
+    async def change_members(self, action, member_id, address):
+        self.changes.append((action, member_id))
+
+
+async def test_learner_is_not_removed_before_its_first_answer(autojump_clock):
+    """Under an older leader members that joined were removed again within 0.25 s."""
+    replica = StandInReplica()
+    operators = SimpleNamespace(tolerated_losses=1)
+    node = SimpleNamespace(
+        replica=replica, is_stopping=False, cfg=SimpleNamespace(operators=operators)
+    )
+    answered = dict.fromkeys(("b/1", "c/1"), math.inf)
+    replica.last_contacts |= answered
+    with trio.move_on_after(SILENT_LEARNER_S):
+        await MembershipRepairer(node).run()
+    assert replica.changes == []
+    with trio.move_on_after(2 * SILENT_LEARNER_S):
+        await MembershipRepairer(node).run()
+    assert replica.changes[0] == (MemberAction.REMOVE, "d/1")
+
+
 def test_member_that_lost_its_disk_is_replaced_by_the_new_one():
     members = make_members("a/1", "b/1", "c/1", "b/2", learners=("b/2",))
     assert choose(members, b_1=2.0, b_2=0.1) == (MemberAction.REMOVE, "b/1")
