Compare the settings file at the first check after a start

Cause: the watch read the file when it was created and reported only later changes.

Change: the first check compares the file with the settings in use, whatever was read before.

Test: test_change_before_the_watch_is_noticed failed before.

--- a/src/wisteriaworks/settings_watch.py
+++ b/src/wisteriaworks/settings_watch.py
@@ -24,7 +24,8 @@
         self._path = path
         self._cfg = cfg
         self._on_change = on_change
-        self._text = self._read()
+        # The file may have changed since ``cfg`` was read, so the first check compares.
+        self._text = None
 
     async def run(self):
         """Check the file periodically, until cancelled."""
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -39,6 +39,20 @@
     assert [cfg.snapshot_every for cfg in changes] == [7]
 
 
+def test_change_before_the_watch_is_noticed(path):
+    """A member that a full disk had stopped started with the seeds of long before."""
+    changes, cfg = [], load_settings(path, ControlSettings)
+    path.write_text(TEXT + "snapshot_every: 7\n")
+    SettingsWatch(path, cfg, changes.append).check()
+    assert [cfg.snapshot_every for cfg in changes] == [7]
+
+
+def test_unchanged_file_changes_nothing(path):
+    watch, changes = make_watch(path)
+    watch.check()
+    assert changes == []
+
+
 @pytest.mark.parametrize(
     "data",
     [
