Create the group although the disk of the first seed is full

Causes, found with the report of operators whose control refused changes long after full disks had room again: - The first seed created the group before the part that waits for room, so it ended. A member that waits for room opens no store, so it could wait for good.

Change: the supervisor creates the group, waits for room if that fails, and completes a creation that was interrupted; not again after it has succeeded, since a folder that is emptied later is a lost disk. Temporary files are deleted before each check for room, and each check comes after a pause, so that a program that needs more room than is checked is not started without end.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -24,7 +24,7 @@
 from wisteriaworks.fleet_size import record_fleet_size
 from wisteriaworks.gateway.control_watch import list_member_addresses
 from wisteriaworks.list_reader import ListFollower, ListReader
-from wisteriaworks.log_store import LogStore, has_state, initialise
+from wisteriaworks.log_store import LogStore, initialise_once
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.member_supervisor import MemberSupervisor
 from wisteriaworks.membership_repair import MembershipRepairer, join_group
@@ -238,9 +238,8 @@
     operators = cfg.operators
     if operators is None or not operators.found or not operators.seeds:
         return
-    is_first = operators.seeds[0] == operators.listen
-    if is_first and not has_state(cfg.data_folder):
-        initialise(cfg.data_folder, cfg.name, cfg.address)
+    if operators.seeds[0] == operators.listen:
+        initialise_once(cfg.data_folder, cfg.name, cfg.address)
 
 
 def run_member(cfg, path):
@@ -249,10 +248,12 @@
     Raises WisteriaError.
     """
     configure_logs(cfg.log, PROGRAM, cfg.name)
-    create_group_if_first_seed(cfg)
     metrics = Metrics(PROGRAM, cfg.name)
-    make_program = functools.partial(ControlProgram, cfg, metrics, path)
-    program = MemberSupervisor(make_program, cfg.data_folder)
+    program = MemberSupervisor(
+        functools.partial(ControlProgram, cfg, metrics, path),
+        cfg.data_folder,
+        functools.partial(create_group_if_first_seed, cfg),
+    )
     try:
         return trio.run(functools.partial(run_until_signal, program))
     except* (OSError, WisteriaError) as group:
--- a/src/wisteriaworks/log_store.py
+++ b/src/wisteriaworks/log_store.py
@@ -29,10 +29,17 @@
 )
 from wisteriaworks.log_segments import SEGMENT_BYTES, LogSegments
 from wisteriaworks.membership import encode_members
-from wisteriaworks.records import read_file, replace_file, sync_folder
+from wisteriaworks.records import (
+    delete_temporary_files,
+    read_file,
+    replace_file,
+    sync_folder,
+)
 
 _LOCK_FILE = "lock"
 _DISK_FILE = "disk"
+# Term of the entry that creates a group. Elections have later terms.
+_FIRST_TERM = 1
 _STATE_PATTERNS = (_DISK_FILE, "log-*", "snapshot-*")
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -112,8 +119,7 @@
             self.folder.mkdir(parents=True, exist_ok=True)
             stack.callback(os.close, self._lock())
             stack.callback(self._log.close)
-            for path in self.folder.glob("*.tmp"):
-                path.unlink()
+            delete_temporary_files(self.folder)
             self._load_disk_record()
             snapshot = self._load_snapshot()
             entries = self._log.load(snapshot)
@@ -199,9 +205,25 @@
         # Another process may have initialised the folder since the check above.
         if store.stored != StoredState():
             raise StorageError(f"{folder} already holds state; nothing was changed")
-        member_id = f"{name}/{store.identity}"
-        members = (Member(id=member_id, address=address, voter=True),)
-        data = encode_members(members)
-        entry = LogEntry(index=1, term=1, kind=EntryKind.MEMBERS, data=data)
-        store.write([PersistVote(1, 1, None), AppendLog(2, (entry,))])
+        return _write_first_entry(store, name, address)
+
+
+def initialise_once(folder, name, address):
+    """Create a log as ``initialise`` does, unless the folder holds one.
+
+    Completes an earlier call that was interrupted. Raises StorageError.
+    """
+    with LogStore(folder) as store:
+        stored = store.stored
+        has_log = stored.entries or stored.snapshot or stored.voted_for
+        if not has_log and stored.term <= _FIRST_TERM:
+            _write_first_entry(store, name, address)
+
+
+def _write_first_entry(store, name, address):
+    member_id = f"{name}/{store.identity}"
+    members = (Member(id=member_id, address=address, voter=True),)
+    data = encode_members(members)
+    entry = LogEntry(index=1, term=_FIRST_TERM, kind=EntryKind.MEMBERS, data=data)
+    store.write([PersistVote(1, _FIRST_TERM, None), AppendLog(2, (entry,))])
     return member_id
--- a/src/wisteriaworks/member_supervisor.py
+++ b/src/wisteriaworks/member_supervisor.py
@@ -14,13 +14,16 @@
 
 from wisteriaworks.errors import StorageError
 from wisteriaworks.events import Event, log_event
-from wisteriaworks.records import write_all
+from wisteriaworks.records import (
+    TEMPORARY_SUFFIX,
+    delete_temporary_files,
+    write_all,
+)
 
 CHECK_INTERVAL_S = 0.5
-# Room that the next entries of the log and a vote need. A store that is opened
-# deletes files with this suffix.
+# Room that the next entries of the log and a vote need.
 ROOM_BYTES = 256 * 1024
-_ROOM_FILE = "room.tmp"
+_ROOM_FILE = f"room{TEMPORARY_SUFFIX}"
 _FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 
@@ -34,10 +37,15 @@
 
 
 def has_room(folder):
-    """Return whether the disk of a folder takes ``ROOM_BYTES``."""
+    """Return whether the disk of a folder takes ``ROOM_BYTES``.
+
+    No store may be open in the folder. A snapshot that did not fit may fill the disk,
+    so temporary files are deleted first.
+    """
     path = Path(folder) / _ROOM_FILE
     with contextlib.ExitStack() as stack:
         try:
+            delete_temporary_files(path.parent)
             fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
             stack.callback(path.unlink)
             stack.callback(os.close, fd)
@@ -62,11 +70,17 @@
 
 
 class MemberSupervisor:
-    """Run the programs that ``make_program`` returns, one after the other."""
+    """Run the programs that ``make_program`` returns, one after the other.
+
+    ``initialise`` is called before the first of them, again after it has failed for
+    lack of room.
+    """
 
-    def __init__(self, make_program, folder):
+    def __init__(self, make_program, folder, initialise=lambda: None):
         self._make_program = make_program
         self._folder = folder
+        self._initialise = initialise
+        self._is_initialised = False
         self._is_stopping = False
         self.program = None
 
@@ -74,8 +88,9 @@
         """Serve until cancelled. Raises WisteriaError or OSError."""
         status = _StartedOnce(task_status)
         while True:
-            self.program = self._make_program()
             try:
+                self._initialise_once()
+                self.program = self._make_program()
                 await self.program.run(task_status=status)
             except Exception as exc:
                 if not is_disk_full(exc) or self._is_stopping:
@@ -86,9 +101,19 @@
             await self._wait_for_room()
             log_event(Event.DISK_HAS_ROOM, folder=str(self._folder))
 
+    def _initialise_once(self):
+        # A folder that is emptied later must not be initialised again.
+        if not self._is_initialised:
+            self._initialise()
+            self._is_initialised = True
+
     async def _wait_for_room(self):
-        while not await trio.to_thread.run_sync(has_room, self._folder):
+        has_enough = False
+        while not has_enough:
+            # Also before the first check: if the program needs more room than is
+            # checked, it is not started again and again without a pause.
             await trio.sleep(CHECK_INTERVAL_S)
+            has_enough = await trio.to_thread.run_sync(has_room, self._folder)
 
     def reload(self):
         """Check for changed settings now."""
--- a/src/wisteriaworks/records.py
+++ b/src/wisteriaworks/records.py
@@ -8,6 +8,7 @@
 
 from wisteriaworks.errors import StorageError
 
+TEMPORARY_SUFFIX = ".tmp"
 _MAGIC = b"\xd7WLR"
 # Header: magic, payload length, payload checksum, checksum of these three fields.
 # The header checksum detects a damaged length and zeros left by a file system.
@@ -84,7 +85,7 @@
 
 def replace_file(path, payload):
     """Atomically and durably replace a file with a file of one record."""
-    temporary = path.with_name(path.name + ".tmp")
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
     fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
     try:
         write_all(fd, pack_record(payload))
@@ -95,6 +96,12 @@
     sync_folder(path.parent)
 
 
+def delete_temporary_files(folder):
+    """Delete what calls of ``replace_file`` left behind that did not end."""
+    for path in folder.glob(f"*{TEMPORARY_SUFFIX}"):
+        path.unlink()
+
+
 def read_file(path):
     """Return the payload of a file written by ``replace_file``.
 
