Form five voters with learners on standby, and serve control without a disk

Cause: with one control process per domain and three domains there are three voters. Two lost disks, which are tolerated there, leave one of them, and no leader is elected again.

Change: with `tolerated_losses` 2 or more the group has 2 * losses + 1 voters. voter_choice.py fills the group with the learners of the domains with the fewest voters, and no domain gets a majority. A lost voter of a full group is removed only if a running learner can take its place: after 1 s of silence if a newer member has its address or a learner joined from its domain meanwhile, otherwise after 10 s. Learners on standby show nothing about a silent voter. Members carry their domain in the member list. With `tolerated_losses` 1 the choice is the earlier code. The first command waits for the members that have joined, up to five.

The role control runs on two VMs of each domain. A process without `data_folder` stores nothing, never votes and answers operators with 307 to a member; gateways and members that call it get the address of a member. If the first seed has no disk, it appoints the first member that asks it to create the group.

The fill of tests/platform_adapter/test_templates.py did not know the sections that the templates have since, so its three tests failed; it fills them now, with and without a disk and bounds.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -18,6 +18,8 @@
 def main():
     """Run the named program without its command line, which is slow to import."""
     sys.path.insert(0, str(PACKAGE))
+    if sys.argv[1] == "control":
+        run_without_disk()
     module_name, function, settings_class = PROGRAMS[sys.argv[1]]
     # Imports leave little garbage, and its collection takes a tenth of the start time.
     gc.disable()
@@ -36,5 +38,14 @@
         sys.exit(exc.exit_code)
 
 
+def run_without_disk():
+    """Run control without the imports of a member, if this VM has no disk."""
+    from wisteriaworks.redirect.process import read_settings, run_redirect
+
+    path = os.environ[SETTINGS_VARIABLE]
+    if (settings := read_settings(path)) is not None:
+        sys.exit(run_redirect(settings, path))
+
+
 if __name__ == "__main__":
     main()
--- a/src/wisteriaworks/consensus.py
+++ b/src/wisteriaworks/consensus.py
@@ -42,8 +42,7 @@
         self._timing = timing
         self._rng = rng
         self._tokens = create_tokens()
-        self._leader_role = None
-        self._leader_id = None
+        self._leader_role = self._leader_id = None
         self._reported_leadership = None
         # The last contact with a leader is not stored, so it is assumed to be now.
         self._last_contact_at = self._started_at = now
@@ -143,14 +142,15 @@
         self._finish_input()
         return token
 
-    def change_members(self, action, member_id, address, now):
+    def change_members(self, action, member_id, address, now, domain=""):
         """Change the member list and return the entry's index, or None.
 
         None means that this member is not the leader. Raises MembershipError.
         """
         if not self._check_leadership(now):
             return None
-        index = self._leader_role.change_members(action, member_id, address, now)
+        change = action, member_id, address, now, domain
+        index = self._leader_role.change_members(*change)
         self._finish_input()
         return index
 
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -22,9 +22,16 @@
 )
 from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.fleet_size import record_fleet_size
+from wisteriaworks.founding import (
+    create_group,
+    create_group_if_first_seed,
+    decline_to_appoint,
+    wait_for_appointment,
+)
 from wisteriaworks.gateway.control_watch import list_member_addresses
+from wisteriaworks.generated.messages import AppointFounder
 from wisteriaworks.list_reader import ListFollower, ListReader
-from wisteriaworks.log_store import LogStore, initialise_once
+from wisteriaworks.log_store import LogStore
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.member_supervisor import MemberSupervisor
 from wisteriaworks.membership_repair import MembershipRepairer, join_group
@@ -65,7 +72,9 @@
         handlers = (
             self._service.list_handlers() | self._operator_commands.list_handlers()
         )
+        handlers[AppointFounder] = decline_to_appoint
         self._server = RpcServer(handlers, _log_failure)
+        self._scope = None
 
     @property
     def node(self):
@@ -77,11 +86,16 @@
         return not self._node.is_stopping and bool(self._node.replica.leader_address)
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
-        """Serve until cancelled; call ``task_status.started`` with the listeners."""
+        """Serve until cancelled; call ``task_status.started`` with the listeners.
+
+        Returns if this member is appointed to create the group, which is done while
+        the member does not run.
+        """
         with contextlib.ExitStack() as stack:
             store = stack.enter_context(LogStore(self._cfg.data_folder))
             replica = self._node.replica = self._create_replica(store)
             async with trio.open_nursery() as nursery:
+                self._scope = nursery.cancel_scope
                 await nursery.start(replica.run)
                 nursery.start_soon(keep_running, Assigner(self._node).run)
                 if self._cfg.platform is not None:
@@ -138,6 +152,7 @@
         async with client, trio.open_nursery() as nursery:
             nursery.start_soon(keep_running, self._settings_watch.run)
             nursery.start_soon(keep_running, join_group, self._node, client)
+            nursery.start_soon(keep_running, self._end_if_appointed)
             nursery.start_soon(keep_running, MembershipRepairer(self._node).run)
             nursery.start_soon(
                 keep_running, record_fleet_size, self._node, self._operator_commands
@@ -152,6 +167,11 @@
             await nursery.start(serve_http, app, cfg.listen)
             task_status.started()
 
+    async def _end_if_appointed(self):
+        if await wait_for_appointment(self._cfg, self._node.replica):
+            log_event(Event.FOUNDER_APPOINTED)
+            self._scope.cancel()
+
     def reload(self):
         """Check for changed settings now."""
         self._settings_watch.check()
@@ -233,15 +253,6 @@
     return is_drained
 
 
-def create_group_if_first_seed(cfg):
-    """Create the group with this member, if it is the first seed in the settings."""
-    operators = cfg.operators
-    if operators is None or not operators.found or not operators.seeds:
-        return
-    if operators.seeds[0] == operators.listen:
-        initialise_once(cfg.data_folder, cfg.name, cfg.address)
-
-
 def run_member(cfg, path):
     """Run a control member until SIGTERM and return the exit code.
 
@@ -253,6 +264,7 @@
         functools.partial(ControlProgram, cfg, metrics, path),
         cfg.data_folder,
         functools.partial(create_group_if_first_seed, cfg),
+        functools.partial(create_group, cfg),
     )
     try:
         return trio.run(functools.partial(run_until_signal, program))
--- a/src/wisteriaworks/control_command.py
+++ b/src/wisteriaworks/control_command.py
@@ -36,7 +36,7 @@
     description = "Create the first control member in an empty data folder, once."
 
     def _run(self, cfg):
-        self.line(initialise(cfg.data_folder, cfg.name, cfg.address))
+        self.line(initialise(cfg.data_folder, cfg.name, cfg.address, cfg.domain))
         return 0
 
 
--- a/src/wisteriaworks/control_service.py
+++ b/src/wisteriaworks/control_service.py
@@ -219,7 +219,7 @@
     async def _change_members(self, message):
         try:
             await self._node.replica.change_members(
-                message.action, message.id, message.address
+                message.action, message.id, message.address, message.domain
             )
         except NotLeaderError:
             raise
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -76,6 +76,13 @@
     )
     DISK_FULL = _Spec(515, "ERROR", "disk is full: the member waits for room")
     DISK_HAS_ROOM = _Spec(516, "INFO", "disk has room again: the member starts")
+    REDIRECT_STARTED = _Spec(520, "INFO", "control process without a disk: no member")
+    REDIRECT_MEMBER_CHANGED = _Spec(
+        521, "INFO", "member to which operators are directed changed"
+    )
+    FOUNDER_APPOINTED = _Spec(
+        522, "INFO", "this member creates the group, as the first seed has no disk"
+    )
     # 6xx: console
     OPERATOR_SIGNED_IN = _Spec(601, "INFO", "operator signed in")
     SIGN_IN_REFUSED = _Spec(602, "WARNING", "sign-in refused")
--- a/src/wisteriaworks/leadership.py
+++ b/src/wisteriaworks/leadership.py
@@ -141,7 +141,7 @@
         self._state.effects += failed
         self._confirmations = []
 
-    def change_members(self, action, member_id, address, now):
+    def change_members(self, action, member_id, address, now, domain=""):
         """Append a changed member list and return its index.
 
         Raises MembershipError.
@@ -153,7 +153,7 @@
             )
         if state.commit_index < state.membership.index:
             raise MembershipError("another membership change is in progress")
-        members = self._build_member_list(action, member_id, address)
+        members = self._build_member_list(action, member_id, address, domain)
         self._check_reachable_majority(members, now)
         data = membership.encode_members(members)
         index = state.append_new(EntryKind.MEMBERS, data)
@@ -218,11 +218,11 @@
         next_index = self._state.log.last_index + 1
         self._peers = {id: self._peers.get(id) or _Peer(next_index) for id in ids}
 
-    def _build_member_list(self, action, member_id, address):
+    def _build_member_list(self, action, member_id, address, domain):
         members = self._state.membership.members
         match action:
             case MemberAction.ADD_LEARNER:
-                return membership.add_learner(members, member_id, address)
+                return membership.add_learner(members, member_id, address, domain)
             case MemberAction.PROMOTE:
                 promoted = membership.promote(members, member_id)
                 self._check_caught_up(member_id)
--- a/src/wisteriaworks/log_store.py
+++ b/src/wisteriaworks/log_store.py
@@ -193,7 +193,7 @@
     return any(path.suffix != ".tmp" for path in paths)
 
 
-def initialise(folder, name, address):
+def initialise(folder, name, address, domain=""):
     """Create a log with this process as its only member; return the member's id.
 
     The member id is ``name`` and the identity of the disk, joined by a slash.
@@ -205,10 +205,10 @@
         # Another process may have initialised the folder since the check above.
         if store.stored != StoredState():
             raise StorageError(f"{folder} already holds state; nothing was changed")
-        return _write_first_entry(store, name, address)
+        return _write_first_entry(store, name, address, domain)
 
 
-def initialise_once(folder, name, address):
+def initialise_once(folder, name, address, domain=""):
     """Create a log as ``initialise`` does, unless the folder holds one.
 
     Completes an earlier call that was interrupted. Raises StorageError.
@@ -217,12 +217,12 @@
         stored = store.stored
         has_log = stored.entries or stored.snapshot or stored.voted_for
         if not has_log and stored.term <= _FIRST_TERM:
-            _write_first_entry(store, name, address)
+            _write_first_entry(store, name, address, domain)
 
 
-def _write_first_entry(store, name, address):
+def _write_first_entry(store, name, address, domain):
     member_id = f"{name}/{store.identity}"
-    members = (Member(id=member_id, address=address, voter=True),)
+    members = (Member(id=member_id, address=address, voter=True, domain=domain),)
     data = encode_members(members)
     entry = LogEntry(index=1, term=_FIRST_TERM, kind=EntryKind.MEMBERS, data=data)
     store.write([PersistVote(1, _FIRST_TERM, None), AppendLog(2, (entry,))])
--- a/src/wisteriaworks/member_supervisor.py
+++ b/src/wisteriaworks/member_supervisor.py
@@ -73,13 +73,20 @@
     """Run the programs that ``make_program`` returns, one after the other.
 
     ``initialise`` is called before the first of them, again after it has failed for
-    lack of room.
+    lack of room, and ``create_group`` after a program has ended by itself.
     """
 
-    def __init__(self, make_program, folder, initialise=lambda: None):
+    def __init__(
+        self,
+        make_program,
+        folder,
+        initialise=lambda: None,
+        create_group=lambda: None,
+    ):
         self._make_program = make_program
         self._folder = folder
         self._initialise = initialise
+        self._create_group = create_group
         self._is_initialised = False
         self._is_stopping = False
         self.program = None
@@ -92,6 +99,8 @@
                 self._initialise_once()
                 self.program = self._make_program()
                 await self.program.run(task_status=status)
+                self._create_group()
+                continue
             except Exception as exc:
                 if not is_disk_full(exc) or self._is_stopping:
                     raise
--- a/src/wisteriaworks/membership.py
+++ b/src/wisteriaworks/membership.py
@@ -19,11 +19,12 @@
     return _DECODER.decode(data)
 
 
-def add_learner(members, member_id, address):
+def add_learner(members, member_id, address, domain=""):
     """Return the list with a new non-voting member. Raises MembershipError."""
     if any(member.id == member_id for member in members):
         raise MembershipError(f"{member_id} is already a member")
-    return (*members, Member(id=member_id, address=address, voter=False))
+    learner = Member(id=member_id, address=address, voter=False, domain=domain)
+    return (*members, learner)
 
 
 def promote(members, member_id):
@@ -31,7 +32,7 @@
     member = _find_member(members, member_id)
     if member.voter:
         raise MembershipError(f"{member_id} is already a voter")
-    voter = Member(id=member.id, address=member.address, voter=True)
+    voter = msgspec.structs.replace(member, voter=True)
     return tuple(voter if m is member else m for m in members)
 
 
--- a/src/wisteriaworks/operator_commands.py
+++ b/src/wisteriaworks/operator_commands.py
@@ -36,6 +36,7 @@
     TicketReply,
     Watch,
 )
+from wisteriaworks.membership_repair import STANDBY_LOSSES
 from wisteriaworks.order_age import DomainOrders, Ticket
 
 # Shorter than the one second after which clients give up on a member.
@@ -289,6 +290,10 @@
             # With fewer voters, a command might not survive the tolerated number
             # of lost disks.
             required = max(required, 2 * cfg.tolerated_losses)
+            if cfg.tolerated_losses >= STANDBY_LOSSES:
+                # Members that have joined are about to vote, up to the target.
+                target = 2 * cfg.tolerated_losses + 1
+                required = max(required, min(target, len(replica.members)))
         if voters < required:
             return f"{voters} of {required} required voters have joined"
         return ""
--- a/src/wisteriaworks/replica.py
+++ b/src/wisteriaworks/replica.py
@@ -1,6 +1,7 @@
 """Run one member of the replicated log: its disk, network and clock, on trio."""
 
 import contextlib
+import functools
 from dataclasses import dataclass
 
 import trio
@@ -168,13 +169,13 @@
         index = self._call_consensus(self._consensus.propose, data)
         return await self._wait_for_result(self._proposals, index)
 
-    async def change_members(self, action, member_id, address):
+    async def change_members(self, action, member_id, address, domain=""):
         """Commit one change of the member list.
 
         Raises MembershipError if the change is not allowed now, and the same
         errors as ``propose``.
         """
-        change = self._consensus.change_members
+        change = functools.partial(self._consensus.change_members, domain=domain)
         index = self._call_consensus(change, action, member_id, address)
         await self._wait_for_result(self._proposals, index)
 
--- a/tests/platform_adapter/test_templates.py
+++ b/tests/platform_adapter/test_templates.py
@@ -12,6 +12,7 @@
 
 from wisteriaworks.document_checks import is_valid_address
 from wisteriaworks.generated.settings import ControlSettings, GatewaySettings
+from wisteriaworks.redirect.process import read_settings
 from wisteriaworks.settings import decode_yaml
 
 DEPLOY = Path(__file__).resolve().parents[2] / "deploy"
@@ -42,28 +43,70 @@
 }
 
 
-def fill(text):
-    """Return a template with its placeholders replaced."""
+# A deployment with accounts, quotas and roll-outs.
+BOUNDS = {
+    "revokeMs": 5000,
+    "failClosed": True,
+    "quotaWindowS": 5.0,
+    "quotaOverage": 0.1,
+    "quotaSlack": 20,
+    "exposureShare": 0.1,
+    "exposureSlack": 50,
+    "rollbackMs": 5000,
+}
+WITHOUT_DISK = {name: value for name, value in FIELDS.items() if name != "dataDir"}
+WITH_BOUNDS = FIELDS | {"bounds": FIELDS["bounds"] | BOUNDS}
+
+
+def fill(text, fields=FIELDS):
+    """Return a template with its sections and placeholders replaced.
+
+    A section is left out if its field is absent; a dot in it is the field's value. A
+    placeholder without a value is replaced by nothing.
+    """
+
+    def look_up(name):
+        value = fields
+        for word in name.split("."):
+            if isinstance(value, list):
+                value = value[int(word)]
+            else:
+                value = (value or {}).get(word)
+        return value
+
+    def fill_section(match):
+        value = look_up(match[1])
+        return "" if value is None else match[2].replace("{{.}}", json.dumps(value))
 
     def find(match):
-        value = FIELDS
-        for word in match[1].split("."):
-            value = value[int(word)] if isinstance(value, list) else value[word]
+        value = look_up(match[1])
+        if value is None:
+            return ""
         is_plain = isinstance(value, str) and not match[2]
         return value if is_plain else json.dumps(value)
 
+    sections = r"\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n"
+    text = re.sub(sections, fill_section, text, flags=re.DOTALL)
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", find, text)
 
 
 @pytest.mark.parametrize(
     ("name", "kind"), [("gateway", GatewaySettings), ("control", ControlSettings)]
 )
-def test_filled_template_gives_valid_settings(name, kind):
-    cfg = decode_yaml(fill((DEPLOY / f"{name}.yaml").read_text()), kind)
+@pytest.mark.parametrize("fields", [FIELDS, WITHOUT_DISK, WITH_BOUNDS])
+def test_filled_template_gives_valid_settings(name, kind, fields):
+    cfg = decode_yaml(fill((DEPLOY / f"{name}.yaml").read_text(), fields), kind)
     listening = [cfg.admin, getattr(cfg, "peer", None), getattr(cfg, "address", None)]
     assert all(is_valid_address(address) for address in listening if address)
 
 
+@pytest.mark.parametrize("fields", [FIELDS, WITHOUT_DISK])
+def test_control_without_a_disk_is_no_member(tmp_path, fields):
+    path = tmp_path / "settings.yaml"
+    path.write_text(fill((DEPLOY / "control.yaml").read_text(), fields))
+    assert (read_settings(path) is None) == ("dataDir" in fields)
+
+
 def test_programs_of_one_vm_do_not_share_a_port():
     gateway, control = (
         decode_yaml(fill((DEPLOY / f"{name}.yaml").read_text()), kind)
