Bound list reads over the fleet and complete views; replace lost voters in order

Cause: every gateway without control read the platform's list by a random timer that did not know the number of pages. 139 gateways with 9 pages made 58 calls/s in a count of 120 s of silence, 200 gateways with 14 pages 88; the platform accepts 46. Gateways without a configuration read it too, although they cannot serve and do not know the size of the fleet. A new leader sent its complete list to all gateways at once.

Change: a gateway reads in its turn, by the number that the leader gave it, and all of them together make at most 30 calls/s; none reads before its first configuration.

A member that came back without its disk no longer counts as the successor of a silent voter in its domain, and a voter whose address a newer member has is removed before others: a neighbour that restarted at the same time lost its vote (test_member_without_its_disk_is_replaced_before_a_slow_neighbour failed before). Messages with other fields than expected end no control process without a disk.

--- a/src/wisteriaworks/gateway/list_fallback.py
+++ b/src/wisteriaworks/gateway/list_fallback.py
@@ -2,7 +2,9 @@
 
 Load pattern: the leader fails, or many gateways lose their connection to control
 at the same moment. The platform limits the calls of all processes together, so in
-a large fleet each gateway waits longer and reads less often. No I/O.
+a large fleet each gateway waits longer and reads less often. All processes restart at
+once: a gateway that has no configuration cannot serve and does not know the size of
+the fleet, so it does not read. No I/O.
 """
 
 import math
@@ -11,30 +13,37 @@
 SILENCE_TIMEOUT_S = 2.0
 # Minimum time between two reads of one gateway.
 READ_INTERVAL_S = 1.5
-# Number of gateways that may read once per READ_INTERVAL_S: ten gateways that read
-# four pages make 27 calls a second of the 46 that the platform accepts.
-FULL_RATE_READERS = 10
+# Calls of all gateways together, of the 46 a second that the platform accepts. The
+# leader's own reads take 14 calls a second at 450 servers.
+CALLS_PER_S = 30.0
+# Entries of a page, until this gateway has read the list: 450 servers took 14 pages.
+SERVERS_PER_PAGE = 32
+
+
+def estimate_pages(servers):
+    """Return the number of calls that a complete read of the list takes."""
+    return max(1, math.ceil(servers / SERVERS_PER_PAGE))
 
 
 class ListFallback:
     """Decide on reading the list by how long the leader has been silent."""
 
     def __init__(self, rng):
-        # Spreads the first reads of the gateways over time.
+        # Spreads the first reads of the gateways over time, while they have no numbers.
         self._jitter = rng.random()
         self._read_at = -math.inf
 
-    def is_due(self, silent_s, gateways, now):
-        """Return whether to read the list now.
+    def is_due(self, silent_s, gateways, now, pages=4, position=None):
+        """Return whether to read the list now, which takes ``pages`` calls.
 
-        If so, the read is recorded, and the next one is due after the interval.
+        ``position`` is the number of this gateway among all ``gateways``. With random
+        times, up to 99 calls were due in one second instead of 30. If the read is
+        due, it is recorded, and the next one is due after the interval.
         """
-        slowdown = max(1.0, gateways / FULL_RATE_READERS)
-        silence_limit_s = SILENCE_TIMEOUT_S * (1 + self._jitter * (slowdown - 1))
-        is_due = (
-            silent_s > silence_limit_s
-            and now - self._read_at >= READ_INTERVAL_S * slowdown
-        )
+        interval_s = max(READ_INTERVAL_S, gateways * pages / CALLS_PER_S)
+        turn = self._jitter if position is None else position % gateways / gateways
+        silence_limit_s = SILENCE_TIMEOUT_S + turn * (interval_s - READ_INTERVAL_S)
+        is_due = silent_s > silence_limit_s and now - self._read_at >= interval_s
         if is_due:
             self._read_at = now
         return is_due
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -19,7 +19,11 @@
 from wisteriaworks.gateway.forwarder import Forwarder
 from wisteriaworks.gateway.gateway_state import GatewayState
 from wisteriaworks.gateway.gather_run import Gatherer
-from wisteriaworks.gateway.list_fallback import SILENCE_TIMEOUT_S, ListFallback
+from wisteriaworks.gateway.list_fallback import (
+    SILENCE_TIMEOUT_S,
+    ListFallback,
+    estimate_pages,
+)
 from wisteriaworks.gateway.request_log import RequestLog
 from wisteriaworks.generated.messages import GatherParts, HandedQuery
 from wisteriaworks.list_reader import ListFollower, ListReader
@@ -186,9 +190,17 @@
         fallback = ListFallback(random.Random())
 
         def is_required():
-            now = trio.current_time()
-            gateways = forwarder.fleet.shares.gateway_count
-            return fallback.is_due(now - state.updated_at, gateways, now)
+            if not state.routes.version:
+                return False
+            now, fleet = trio.current_time(), forwarder.fleet
+            pages = reader.pages or estimate_pages(len(fleet.table.list_ids()))
+            return fallback.is_due(
+                now - state.updated_at,
+                fleet.cold.gateway_count,
+                now,
+                pages,
+                fleet.cold.position,
+            )
 
         await trio.sleep(SILENCE_TIMEOUT_S)
         reader = ListReader(self._cfg.server_list, wire)
--- a/src/wisteriaworks/list_reader.py
+++ b/src/wisteriaworks/list_reader.py
@@ -29,6 +29,8 @@
         self._address = address
         self._wire = wire
         self._is_failing = False
+        # Number of pages of the last complete read, or 0.
+        self.pages = 0
 
     async def read(self, pool):
         """Return all servers of the list, or None if it can't be read now.
@@ -48,11 +50,12 @@
 
     async def _read_pages(self, pool):
         servers, token = [], ""
-        for _ in range(MAX_PAGES):
+        for number in range(1, MAX_PAGES + 1):
             page = await self._read_page(pool, token)
             servers += page.servers
             token = page.next_token
             if not token:
+                self.pages = number
                 return servers
         raise ListUnreadableError(f"the list has more than {MAX_PAGES} pages")
 
--- a/src/wisteriaworks/membership_repair.py
+++ b/src/wisteriaworks/membership_repair.py
@@ -56,8 +56,8 @@
 
     ``silence`` maps the ids of the other members to the seconds since the last
     contact with them, and ``waiting`` those of the learners to the seconds since they
-    were added. ``joined`` is ``waiting`` without the learners that were members
-    before this leader was elected.
+    were added. ``joined`` is ``waiting`` without the learners that succeed no other
+    member (see RepairPolicy).
     """
     if tolerated_losses >= STANDBY_LOSSES:
         target = 2 * tolerated_losses + 1
@@ -131,18 +131,29 @@
     def __init__(self):
         # Time at which this leader first saw each learner.
         self._learners = {}
-        # Learners that were members when this leader was first seen to lead.
+        # Ids of learners that succeed no other member: they were members when this
+        # leader was first seen to lead, or have come back.
         self._standby_ids = None
+        # First member seen at each address.
+        self._first_ids = {}
 
     def reset(self):
         """Discard the observations of an earlier leadership."""
         self._learners.clear()
+        self._first_ids.clear()
         self._standby_ids = None
 
     def forget(self, member_id):
         """Discard what is known of a changed member: if it joins, it begins anew."""
         self._learners.pop(member_id, None)
-        self._standby_ids.discard(member_id)
+        self._standby_ids.add(member_id)
+
+    def _note_members(self, members):
+        if self._standby_ids is None:
+            self._standby_ids = set(self._learners)
+        for member in members:
+            if self._first_ids.setdefault(member.address, member.id) != member.id:
+                self._standby_ids.add(member.id)
 
     def choose(self, replica, tolerated_losses, now):
         """Return the next change as (action, member), or None."""
@@ -156,8 +167,7 @@
             for member in replica.members
             if not member.voter
         }
-        if self._standby_ids is None:
-            self._standby_ids = set(self._learners)
+        self._note_members(replica.members)
         waiting = {id: now - added_at for id, added_at in self._learners.items()}
         joined = {id: s for id, s in waiting.items() if id not in self._standby_ids}
         return choose_change(
--- a/src/wisteriaworks/operator_commands.py
+++ b/src/wisteriaworks/operator_commands.py
@@ -38,6 +38,7 @@
 )
 from wisteriaworks.membership_repair import STANDBY_LOSSES
 from wisteriaworks.order_age import DomainOrders, Ticket
+from wisteriaworks.view_pacer import ViewPacer
 
 # Shorter than the one second after which clients give up on a member.
 COMMAND_TIMEOUT_S = 0.9
@@ -172,6 +173,7 @@
         self._positions = {}
         self._packed_version, self._packed_document = -1, b""
         self._packer = UpdatePacker()
+        self._view_pacer = ViewPacer()
         self._domain_orders = DomainOrders()
         self._delegates_changed = trio.Event()
         self._delegates = ()
@@ -338,7 +340,7 @@
         self._update_watches()
         try:
             while self._leads_in(term) and not self._node.is_stopping:
-                update, revision = self._make_update(message, version, revision)
+                update, revision = self._make_paced_update(message, version, revision)
                 version = max(version, update.config_version)
                 if delegates != self._delegates and self._may_send_delegates(known):
                     delegates, known = self._delegates, self.delegate_count
@@ -381,6 +383,17 @@
         packed = self._packer.pack_delegates(self._delegates)
         return msgspec.structs.replace(update, packed_delegates=packed)
 
+    def _make_paced_update(self, watch, version, revision):
+        """Return the update, or one without list and configuration until its turn."""
+        update, next_revision = self._make_update(watch, version, revision)
+        size = len(update.packed_changes) + len(update.document)
+        is_view = update.full and watch.reads_packed
+        if not is_view or self._view_pacer.admit(size, trio.current_time()):
+            return update, next_revision
+        kept = {"config_version": version, "document": b"", "packed_changes": b""}
+        update = msgspec.structs.replace(update, list_read=False, full=False, **kept)
+        return update, revision
+
     def _make_update(self, watch, version, revision):
         machine, now = self._node.machine, trio.current_time()
         directory = self._directory
--- a/src/wisteriaworks/redirect/process.py
+++ b/src/wisteriaworks/redirect/process.py
@@ -78,11 +78,16 @@
             ),
         }
 
+    @property
+    def seeds(self):
+        """Return the seeds in use."""
+        return self._view.seeds
+
     def run(self):
         """Serve until SIGTERM or SIGINT. Raises OSError."""
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
-        signal.signal(signal.SIGHUP, lambda *_: self._reload())
+        signal.signal(signal.SIGHUP, lambda *_: self.reload())
         for address, make_protocol in self._ports.items():
             listener = socket.create_server(_split(address), backlog=BACKLOG)
             listener.setblocking(False)
@@ -111,7 +116,7 @@
         if now >= self._next_settings_at:
             self._next_settings_at = now + SETTINGS_INTERVAL_S
             if _read_modification_time(self._path) != self._settings_time:
-                self._reload()
+                self.reload()
         if (member := self._view.find_member(now)) != self._member:
             self._member = member
             text = "member to which operators are directed changed"
@@ -215,7 +220,7 @@
                 return 200, ("Content-Type: text/plain; version=0.0.4",), b""
         return 404, (), b"not found\n"
 
-    def _reload(self):
+    def reload(self):
         """Use the seeds of the changed settings."""
         self._settings_time = _read_modification_time(self._path)
         try:
--- a/src/wisteriaworks/redirect/protocols.py
+++ b/src/wisteriaworks/redirect/protocols.py
@@ -13,6 +13,8 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # The questions of gateways and members have some hundred bytes.
 MAX_FRAME_BUFFER_BYTES = 64 * 1024
+# Errors of messages that are damaged or have other fields than expected.
+_MESSAGE_ERRORS = (FrameError, ValueError, TypeError, IndexError)
 _REASONS = {
     200: "OK",
     307: "Temporary Redirect",
@@ -100,7 +102,7 @@
             self._size = 0 if frames else self._size + len(data)
             self.is_done = self._size > MAX_FRAME_BUFFER_BYTES
             return b"".join(map(self._answer, frames))
-        except (FrameError, ValueError):
+        except _MESSAGE_ERRORS:
             self.is_done = True
             return b""
 
@@ -122,7 +124,7 @@
                 # The empty id tells that this process is no member.
                 return [messages.MEMBERS_REPLY, "", view.name_member(now), []]
             case messages.APPOINT_FOUNDER:
-                address = messages.decode(payload)[1]
+                address = _check_address(messages.decode(payload)[1])
                 return [messages.FOUNDER_REPLY, view.appoint(address, now)]
         return [messages.NOT_LEADER, view.name_member(now)]
 
@@ -149,7 +151,7 @@
                 if frame.kind is FrameKind.REPLY:
                     self._read(frame.payload)
                 self.is_done = True
-        except (FrameError, ValueError, TypeError, IndexError):
+        except _MESSAGE_ERRORS:
             self.is_done = True
         return b""
 
@@ -157,4 +159,15 @@
         tag, member_id, leader, listed = messages.decode(payload)[:4]
         if tag == messages.MEMBERS_REPLY:
             # An encoded member begins with its tag, its id and its address.
-            self._on_reply(member_id, leader, [member[2] for member in listed])
+            addresses = [_check_address(member[2]) for member in listed]
+            self._on_reply(str(member_id), leader and _check_address(leader), addresses)
+
+
+def _check_address(address):
+    """Return ``HOST:PORT``. Raises ValueError or TypeError for anything else."""
+    if not isinstance(address, str):
+        raise TypeError("an address is not a string")
+    host, separator, port = address.rpartition(":")
+    if not (host and separator and port.isdecimal()):
+        raise ValueError(f"not an address: {address[:60]!r}")
+    return address
--- a/src/wisteriaworks/voter_choice.py
+++ b/src/wisteriaworks/voter_choice.py
@@ -34,7 +34,7 @@
 
     ``silence`` maps the ids of the other members to the seconds since the last
     contact with them, and ``joined`` those of the learners that were added under this
-    leader to the seconds since then.
+    leader at an address where no member was before, to the seconds since then.
     """
 
     members: tuple
@@ -63,6 +63,8 @@
     voters = view.voters
     by_silence = sorted(voters, key=view.get_silence, reverse=True)
     known_lost = [voter for voter in by_silence if _is_known_to_be_lost(view, voter)]
+    # A newer member at the same address is stronger evidence than a join.
+    known_lost.sort(key=view.is_outdated, reverse=True)
     learners = _list_learners(view, voters)
     if len(voters) < view.target:
         running = len(voters) - len(known_lost) + len(learners)
@@ -107,12 +109,12 @@
     """Return whether a learner joined from the voter's domain during its silence.
 
     A VM that is replaced ends before its successor starts. Learners that stood by
-    before this leader was elected, or before the voter fell silent, show nothing.
+    before this leader was elected, or before the voter fell silent, show nothing, and
+    neither does a member that came back without its disk or after its removal.
     """
     return any(
-        view.joined.get(member.id, -math.inf) >= 0.0
+        view.joined.get(member.id, math.inf) <= view.get_silence(voter)
         and member.domain == voter.domain
-        and view.joined[member.id] <= view.get_silence(voter)
         for member in view.members
         if not member.voter
     )
--- a/tests/platform_adapter/test_redirect.py
+++ b/tests/platform_adapter/test_redirect.py
@@ -103,6 +103,24 @@
     assert (reply.number, end.kind) == (4, FrameKind.END)
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        [messages.APPOINT_FOUNDER],
+        [messages.APPOINT_FOUNDER, []],
+        [messages.APPOINT_FOUNDER, "x"],
+        [[]],
+    ],
+)
+def test_message_with_other_fields_ends_no_process(message):
+    payload = messages.encode(message)
+    calls = protocols.MemberCalls(make_view(), lambda: 1.0)
+    calls.receive(pack_frame(Frame(1, FrameKind.REQUEST, payload)))
+    question = protocols.MembersQuestion(lambda *reply: None)
+    question.receive(pack_frame(Frame(1, FrameKind.REPLY, payload)))
+    assert question.is_done
+
+
 @pytest.mark.parametrize("data", [b"\xff" * 40, bytes(9), b"\x00\x00\xff\xff" * 40000])
 def test_connection_with_garbage_is_closed(data):
     calls = protocols.MemberCalls(make_view(), lambda: 0.0)
@@ -137,6 +155,12 @@
     domains = "aabbccdd"
     without_disk = 0
 
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.children = []
+        # An event for each member, which is set when its program has ended.
+        self.ended = {}
+
     def make_control_settings(self, host, found=False):
         cfg = super().make_control_settings(host, found)
         operators = msgspec.structs.replace(cfg.operators, tolerated_losses=2)
@@ -170,6 +194,11 @@
             subprocess.Popen([sys.executable, "-c", code, path], stderr=subprocess.PIPE)
         )
 
+    async def _run(self, host, program, task_status):
+        self.ended[host] = trio.Event()
+        await super()._run(host, program, task_status=task_status)
+        self.ended[host].set()
+
     def read_members(self):
         """Return the member list of the leader."""
         replicas = [m.program.node.replica for m in self.control.values() if m.program]
@@ -180,7 +209,6 @@
 async def system(request, nursery, tmp_path):
     count, without_disk = request.param
     system = VotersSystem(nursery, tmp_path, make_servers(), count, gateways=0)
-    system.children = []
     system.without_disk = without_disk
     if without_disk == 3:
         # The others are the members of a system with one disk in each domain.
@@ -246,3 +274,22 @@
     path = tmp_path / "settings.yaml"
     path.write_text(text)
     assert (process.read_settings(path) is None) == has_disk
+
+
+@pytest.mark.parametrize(
+    ("text", "seeds"),
+    [
+        ("operators: {seeds: ['10.0.0.3:81']}", ("10.0.0.3:81",)),
+        ("operators: {seeds: 3}", SEEDS),
+        ("[", SEEDS),
+    ],
+)
+def test_changed_seeds_are_used(tmp_path, text, seeds):
+    """Members whose VMs were all replaced are found by new seeds only."""
+    path = tmp_path / "settings.yaml"
+    operators = {"listen": LISTEN, "seeds": list(SEEDS)}
+    settings = {"name": "c", "address": ADDRESS, "admin": ADDRESS}
+    redirect = process.RedirectProcess(settings | {"operators": operators}, path)
+    path.write_text(text)
+    redirect.reload()
+    assert redirect.seeds == seeds
--- a/tests/test_voter_choice.py
+++ b/tests/test_voter_choice.py
@@ -245,6 +245,21 @@
         group.check_repaired()
 
 
+@pytest.mark.parametrize("layout", LAYOUTS)
+def test_domain_and_a_disk_soon_after_leave_a_majority_of_at_most_two_lost(layout):
+    for group, one, outside in each_pair(layout):
+        domain = group.domains[one]
+        if domain == group.domains[outside]:
+            continue
+        group.down |= {a for a, d in group.domains.items() if d == domain}
+        group.run(3.0)
+        group.lose_disk(outside)
+        lost = sum(not group.is_running(voter) for voter in group.voters)
+        assert group.has_majority() == (lost <= LOSSES)
+        group.down.discard(one)
+        assert group.has_majority()
+
+
 @pytest.mark.parametrize("layout", LAYOUTS)
 @pytest.mark.parametrize("apart_s", [0.0, 1.0, 3.0, 6.0])
 def test_replaced_vm_and_a_lost_disk_leave_a_majority(layout, apart_s):
@@ -274,6 +289,22 @@
         group.check_repaired()
 
 
+def test_member_without_its_disk_is_replaced_before_a_slow_neighbour():
+    """A neighbour in its domain that still restarts would lose its vote instead."""
+    for group in each_leader("aabbcc"):
+        others = [m.address for m in group.voters if m.id != group.id]
+        pairs = [p for p in itertools.permutations(others, 2) if p[0][0] == p[1][0]]
+        for slow, lost in pairs[:2]:
+            group.down.add(slow)
+            group.run(0.5)
+            group.lose_disk(lost)
+            group.run(1.75)
+            assert all(id.startswith(lost) for id in group.removed)
+            group.down.clear()
+            group.run(9.0)
+            group.removed.clear()
+
+
 @pytest.mark.parametrize("layout", LAYOUTS)
 @pytest.mark.parametrize("frozen_s", [2.0, 6.0])
 def test_frozen_voter_is_not_removed_because_learners_stand_by(layout, frozen_s):
