Drop a redundant order of lost voters and test the choice by domain

Cause: trials on a copy without single rules of voter_choice.py showed two rules that no test needed. The order that removes a voter with a newer member at its address first is covered by the exception for members that came back; the choice of the least represented domain had no test of its own.

--- a/src/wisteriaworks/voter_choice.py
+++ b/src/wisteriaworks/voter_choice.py
@@ -63,8 +63,6 @@
     voters = view.voters
     by_silence = sorted(voters, key=view.get_silence, reverse=True)
     known_lost = [voter for voter in by_silence if _is_known_to_be_lost(view, voter)]
-    # A newer member at the same address is stronger evidence than a join.
-    known_lost.sort(key=view.is_outdated, reverse=True)
     learners = _list_learners(view, voters)
     if len(voters) < view.target:
         running = len(voters) - len(known_lost) + len(learners)
--- a/tests/test_voter_choice.py
+++ b/tests/test_voter_choice.py
@@ -23,6 +23,7 @@
 )
 from wisteriaworks.generated.messages import MemberAction
 from wisteriaworks.membership_repair import RepairPolicy
+from wisteriaworks.voter_choice import GroupView, choose_voter_change
 
 STEP_S = 0.25
 ELECTION_S = 1.0
@@ -347,6 +348,14 @@
         assert group.can_elect([member.id for member in lost])
 
 
+def test_learner_of_the_domain_with_the_fewest_voters_is_promoted():
+    """The loss of the domain with two voters would cost more than needed."""
+    names = ("a0", "b0", "c0", "a1", "d0")
+    members = tuple(Member(f"{n}/0", n, n[1] == "0" and n != "d0", n[0]) for n in names)
+    view = GroupView(members, "a0/0", 5, {}, {})
+    assert choose_voter_change(view) == (MemberAction.PROMOTE, members[-1])
+
+
 def test_surplus_voters_of_an_older_group_become_learners():
     group = Group("aabbcc")
     group.members = tuple(
