Run control without a data folder from its command line as the launcher does

Cause: `wisteria-control run` and `init` ended with a traceback if `data_folder` was absent, which the settings allow since control runs on VMs without a disk.

Change: `run` directs calls to members, as the launcher does; without settings for operators, and for `init`, it is a settings error.

Result: tests/platform_adapter/test_redirect.py passes, with a new case for both commands.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -256,8 +256,15 @@
 def run_member(cfg, path):
     """Run a control member until SIGTERM and return the exit code.
 
-    Raises WisteriaError.
+    Without a data folder, the process directs calls to members instead. Raises
+    WisteriaError.
     """
+    if cfg.data_folder is None:
+        from wisteriaworks.redirect.process import read_settings, run_redirect
+
+        if cfg.operators is None:
+            raise SettingsError("data_folder is required without operators")
+        return run_redirect(read_settings(path), path)
     configure_logs(cfg.log, PROGRAM, cfg.name)
     metrics = Metrics(PROGRAM, cfg.name)
     program = MemberSupervisor(
--- a/src/wisteriaworks/control_command.py
+++ b/src/wisteriaworks/control_command.py
@@ -9,7 +9,7 @@
 
 from wisteriaworks import __version__
 from wisteriaworks.control import PROGRAM, run_member
-from wisteriaworks.errors import WisteriaError
+from wisteriaworks.errors import SettingsError, WisteriaError
 from wisteriaworks.generated.settings import ControlSettings
 from wisteriaworks.log_store import initialise
 from wisteriaworks.settings import load_settings
@@ -36,6 +36,8 @@
     description = "Create the first control member in an empty data folder, once."
 
     def _run(self, cfg):
+        if cfg.data_folder is None:
+            raise SettingsError("data_folder is required to create a member")
         self.line(initialise(cfg.data_folder, cfg.name, cfg.address, cfg.domain))
         return 0
 
--- a/tests/platform_adapter/test_redirect.py
+++ b/tests/platform_adapter/test_redirect.py
@@ -9,10 +9,12 @@
 import msgspec
 import pytest
 import trio
+from cleo.testers.application_tester import ApplicationTester
 from platform_stand_in import StandInSystem, make_servers
 from test_gateway_system import make_configuration
 
-from wisteriaworks import codec, control, founding, rpc
+from wisteriaworks import codec, control, control_command, founding, rpc
+from wisteriaworks.errors import SettingsError
 from wisteriaworks.events import Event
 from wisteriaworks.framing import Frame, FrameKind, FrameReader, pack_frame
 from wisteriaworks.generated import messages as full
@@ -293,3 +295,12 @@
     path.write_text(text)
     redirect.reload()
     assert redirect.seeds == seeds
+
+
+@pytest.mark.parametrize("command", ["init", "run"])
+def test_member_without_a_data_folder_is_a_settings_error(tmp_path, command):
+    path = tmp_path / "settings.yaml"
+    path.write_text(f"{{name: c, domain: a, address: '{ADDRESS}', admin: '{LISTEN}'}}")
+    tester = ApplicationTester(control_command.make_application())
+    assert tester.execute(f"{command} {path}") == SettingsError.exit_code
+    assert "data_folder" in tester.io.fetch_error()
