Check the keys of client accounts at gateways

Cause: a configuration with accounts had no effect. Requests ran without a key, the credential was forwarded to servers, and a client could set X-Wisteriaworks-Tenant-Id itself.

A send that is not allowed ends as not run (401, or 503 with kind entry_fenced). Tenants and public routes are read from the operators' configuration; two accounts with one key are refused. Without accounts no question is sent and no key is read.

--- /dev/null
+++ b/src/wisteriaworks/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: their keys, and the lease under which a gateway uses keys."""
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from wisteriaworks.accounts.confirmations import ConfirmationService
 from wisteriaworks.admin import AdminApp, serve_http
 from wisteriaworks.assigner import Assigner
 from wisteriaworks.background import keep_running
@@ -62,8 +63,11 @@
         self._directory = ServerDirectory()
         self._list_follower = None
         self._operator_commands = OperatorCommandService(self._node, self._directory)
+        self._confirmations = ConfirmationService(self._node)
         handlers = (
-            self._service.list_handlers() | self._operator_commands.list_handlers()
+            self._service.list_handlers()
+            | self._operator_commands.list_handlers()
+            | self._confirmations.list_handlers()
         )
         self._server = RpcServer(handlers, _log_failure)
 
@@ -143,6 +147,7 @@
                 keep_running, record_fleet_size, self._node, self._operator_commands
             )
             nursery.start_soon(keep_running, self._operator_commands.announce_delegates)
+            nursery.start_soon(keep_running, self._confirmations.run)
             nursery.start_soon(
                 keep_running, self._list_follower.run, self._update_server_list
             )
--- a/src/wisteriaworks/document_checks.py
+++ b/src/wisteriaworks/document_checks.py
@@ -10,6 +10,8 @@
 
 NAME_PATTERN = "^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
 _NAME = re.compile(NAME_PATTERN)
+_ACCOUNT_NAME = re.compile("[!-~]([ -~]{0,126}[!-~])?")
+_KEY_HASH = re.compile("[0-9a-f]{64}")
 _MAX_PORT = 65535
 _MAX_PORT_DIGITS = 5
 
@@ -25,6 +27,7 @@
         _check_replica_sets,
         _check_objectives,
         _check_routes,
+        _check_accounts,
     )
     return list(itertools.chain.from_iterable(check(document) for check in checks))
 
@@ -212,5 +215,22 @@
     )
 
 
+def _check_accounts(document):
+    owners = {}
+    for name, account in document.accounts.items():
+        path = f"accounts.{name}"
+        # Servers receive the name as the value of a header.
+        if not _ACCOUNT_NAME.fullmatch(name):
+            yield Problem(path, "a name of 1 to 128 printable ASCII characters")
+        if not all(map(_KEY_HASH.fullmatch, account.key_sha256)):
+            yield Problem(f"{path}.key_sha256", "SHA-256 hashes in hexadecimal")
+        others = {owners.setdefault(key, name) for key in account.key_sha256} - {name}
+        for other in sorted(others):
+            yield Problem(
+                f"{path}.key_sha256",
+                f"keys of one account only, got a key of account {other}",
+            )
+
+
 def _warn(path, expected):
     return Problem(path, expected, Severity.WARNING)
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -105,6 +105,15 @@
     LIST_OUTDATED = _Spec(
         711, "INFO", "a list of servers is not used: its reading began earlier"
     )
+    KEYS_CONFIRMED = _Spec(
+        720, "INFO", "configuration confirmed: requests with keys are served"
+    )
+    KEYS_NOT_CONFIRMED = _Spec(
+        721, "WARNING", "configuration not confirmed: requests with keys are refused"
+    )
+    KEY_REFUSED = _Spec(
+        722, "WARNING", "request refused because of its key, or without a lease"
+    )
 
 
 def log_failure(exc, **fields):
--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -41,6 +41,8 @@
     UnservedReason.DEADLINE: ErrorKind.DEADLINE_EXCEEDED,
     UnservedReason.COVERAGE: ErrorKind.TOO_FEW_PARTS,
     UnservedReason.DELEGATE: ErrorKind.OUTCOME_UNKNOWN,
+    UnservedReason.KEY_REMOVED: ErrorKind.UNAUTHENTICATED,
+    UnservedReason.NOT_CONFIRMED: ErrorKind.ENTRY_FENCED,
 }
 _CLOSE = (b"connection", b"close")
 _SUCCESS = 200
@@ -48,14 +50,27 @@
 
 
 class GatewayApp:
-    """Serve one gateway as an ASGI app."""
+    """Serve one gateway as an ASGI app.
+
+    ``accounts`` is the AccountGate.
+    """
 
     def __init__(
-        self, state, forwarder, wire, readiness_port, log, admin=None, gatherer=None
+        self,
+        state,
+        forwarder,
+        wire,
+        readiness_port,
+        log,
+        admin=None,
+        gatherer=None,
+        *,
+        accounts,
     ):
         self._state = state
         self._log = log
         self._gatherer = gatherer
+        self._accounts = accounts
         self._forwarder = forwarder
         self._wire = wire
         self._readiness_port = readiness_port
@@ -127,6 +142,9 @@
         if route is None:
             kind = ErrorKind.UNKNOWN_ROUTE
             return self._refuse_early(kind, request, arrived_at)
+        request, refusal = self._check_account(scope, request, route, arrived_at)
+        if refusal is not None:
+            return refusal
         answer = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
@@ -141,6 +159,14 @@
             self._log.record_disconnect(route, request, arrived_at)
         return answer
 
+    def _check_account(self, scope, request, route, arrived_at):
+        """Return the request with its account, and the answer if it is refused."""
+        checked = self._accounts.identify(request, route, scope["headers"])
+        if not isinstance(checked, ErrorKind):
+            return checked, None
+        self._log.record_key_refused(checked, route, request, arrived_at)
+        return request, self._refuse(checked)
+
     async def _cancel_at_end(self, scope):
         await self._must_end.wait()
         scope.cancel()
@@ -159,6 +185,8 @@
         is_same_version = routes.version == message.version
         if not (self.is_ready and is_same_version and route and route.shards):
             return GatheredParts(taken=False)
+        if not self._accounts.accepts(message, route):
+            return GatheredParts(taken=False)
         if not all(0 <= p < len(route.shards) for p in message.positions):
             return GatheredParts(taken=False)
         if self.gathering_parts >= MAX_GATHERED_PARTS:
@@ -267,6 +295,8 @@
         body=message.body,
         id=message.id,
         deadline_at=deadline_at,
+        account=message.account,
+        key_id=message.key_id,
     )
     times = AnswerTimes(
         partial_at=now + message.due_ms / 1000,
--- a/src/wisteriaworks/gateway/delegate_client.py
+++ b/src/wisteriaworks/gateway/delegate_client.py
@@ -169,6 +169,8 @@
             due_ms=(times.partial_at - hop_s - now) * 1000,
             return_ms=(times.deadline_at - times.give_up_at + hop_s) * 1000,
             earlier=earlier,
+            account=request.account,
+            key_id=request.key_id,
         )
 
 
--- a/src/wisteriaworks/gateway/fetch.py
+++ b/src/wisteriaworks/gateway/fetch.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from wisteriaworks.gateway.model import (
+    KEY_FAILURES,
     Answered,
     Failed,
     Failure,
@@ -35,6 +36,7 @@
 
     ATTEMPTS = "attempts"
     BUDGET = "budget"
+    KEY = "key"
     NO_SERVER = "no_server"
     NOT_IDEMPOTENT = "not_idempotent"
 
@@ -98,6 +100,8 @@
         self._retry_at = math.inf
         self._outcome = "waiting"
         self._denial = None
+        # Whether the request may not be sent any more, because of its key.
+        self._is_barred = False
         self.answer: ServerAnswer | None = None
         self.refusal: ServerAnswer | None = None
         self.failure = None
@@ -183,6 +187,7 @@
 
     def _handle_failure(self, server_id, failure, may_have_run, now):
         self.failure = failure
+        self._is_barred |= failure in KEY_FAILURES
         if not may_have_run:
             if self._send_counts[server_id] == 1:
                 self._reached.discard(server_id)
@@ -206,7 +211,7 @@
         """
         send = self._repeat(now, is_counted, may_reuse_servers=not retry_delay_s)
         if send is None and not self._running:
-            is_denied = self._denial is Denial.BUDGET
+            is_denied = self._denial in (Denial.BUDGET, Denial.KEY)
             if retry_delay_s and not is_denied and self._list_retryable(now):
                 self._retry_at = now + retry_delay_s
                 self._hedge_at = math.inf
@@ -222,7 +227,9 @@
         """
         service = self.policy.service
         budget = self._fleet.budget
-        self._denial = None
+        self._denial = Denial.KEY if self._is_barred else None
+        if self._is_barred:
+            return None
         if is_counted and not budget.may_repeat(service, now, is_hedge):
             self._denial = Denial.BUDGET
             return None
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -105,6 +105,8 @@
         self.return_time = ReturnTime()
         self._memory = AnswerMemory()
         self.fleet.stats.estimate_wait = self._estimate_wait
+        # Returns the Failure because of which a request can't be sent now, or None.
+        self.check_key = lambda request: None
 
     def prune_servers(self, document):
         """Drop the state of servers and services that are no longer listed."""
--- a/src/wisteriaworks/gateway/gathering.py
+++ b/src/wisteriaworks/gateway/gathering.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 from wisteriaworks.gateway.query import (
+    KEY_REASONS,
     MAX_EXPLAINED_SERVICES,
     GatheredAnswer,
     Unserved,
@@ -218,8 +219,8 @@
             return (
                 UnservedReason.DELEGATE if is_delegate_lost else UnservedReason.COVERAGE
             )
-        is_refused = UnservedReason.REFUSED in reasons
-        return UnservedReason.REFUSED if is_refused else UnservedReason.NO_SERVER
+        known = (*KEY_REASONS.values(), UnservedReason.REFUSED)
+        return next((r for r in known if r in reasons), UnservedReason.NO_SERVER)
 
     def _explain(self):
         causes = itertools.chain.from_iterable(p.causes for p in self._progress)
--- a/src/wisteriaworks/gateway/model.py
+++ b/src/wisteriaworks/gateway/model.py
@@ -15,7 +15,8 @@
     """Represent one request as its caller sent it.
 
     ``headers`` are the end-to-end headers that are passed on. ``deadline_at``
-    is on the monotonic clock, in seconds.
+    is on the monotonic clock, in seconds. ``account`` is the client account, and
+    ``key_id`` identifies its key; both are empty if the request needs no key.
     """
 
     method: bytes
@@ -25,6 +26,8 @@
     body: bytes
     id: bytes
     deadline_at: float
+    account: str = ""
+    key_id: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +106,14 @@
     TIMED_OUT = "timed_out"
     # The gateway stopped waiting before the request was sent.
     ABANDONED = "abandoned"
+    # The configuration in use has the key no longer.
+    KEY_REMOVED = "key_removed"
+    # The configuration was confirmed too long ago for a request with a key.
+    NOT_CONFIRMED = "not_confirmed"
+
+
+# Failures that apply to the request at any server, and by which it was not sent.
+KEY_FAILURES = frozenset((Failure.KEY_REMOVED, Failure.NOT_CONFIRMED))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -9,6 +9,9 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from wisteriaworks.accounts.gate import AccountGate
+from wisteriaworks.accounts.lease import KeyLease
+from wisteriaworks.accounts.renewal import LeaseRenewal
 from wisteriaworks.admin import AdminApp
 from wisteriaworks.background import keep_running
 from wisteriaworks.events import Event, log_event, log_failure
@@ -51,6 +54,7 @@
         self.app = None
         self._watch = None
         self._settings = None
+        self._lease_renewal = None
         self._peer_server = None
         self._was_ready = False
         self._created_at = 0.0
@@ -72,11 +76,15 @@
             delegates = DelegateClient(selector, forwarder.return_time, nursery)
             state.on_delegates = delegates.set_delegates
             gatherer = Gatherer(delegates, forwarder)
-            self.app = self._make_app(state, forwarder, log, metrics, gatherer)
+            accounts = self._make_account_gate(state, forwarder, metrics)
+            self.app = self._make_app(
+                state, forwarder, log, metrics, gatherer, accounts
+            )
             self._register_metrics(state, forwarder, metrics)
             self._watch = ControlWatch(cfg, state)
             self._settings = SettingsWatch(self._path, cfg, self._watch.update_settings)
             nursery.start_soon(keep_running, self._watch.run)
+            nursery.start_soon(keep_running, self._lease_renewal.run)
             nursery.start_soon(keep_running, forwarder.sweep)
             nursery.start_soon(keep_running, delegates.check_delegates)
             nursery.start_soon(keep_running, log.run)
@@ -94,14 +102,34 @@
             task_status.started()
             await trio.sleep_forever()
 
-    def _make_app(self, state, forwarder, log, metrics, gatherer):
+    def _make_account_gate(self, state, forwarder, metrics):
+        """Return the gate that checks keys, and create the renewal of its lease."""
+        cfg = self._cfg
+        lease = KeyLease(cfg.accounts.revoke_ms / 1000)
+        gate = AccountGate(cfg.accounts, state, lease, wire.read_key, metrics)
+        forwarder.check_key = gate.find_obstacle
+        self._lease_renewal = LeaseRenewal(
+            cfg.name, gate, lease, state, lambda: self._watch.leader
+        )
+        return gate
+
+    def _make_app(self, state, forwarder, log, metrics, gatherer, accounts):
         admin = None
         if self._cfg.admin:
             is_ready = functools.partial(getattr, self, "is_ready")
             port = split_address(self._cfg.admin)[1]
             admin = (port, AdminApp(is_ready, metrics))
         readiness_port = split_address(self._cfg.readiness)[1]
-        return GatewayApp(state, forwarder, wire, readiness_port, log, admin, gatherer)
+        return GatewayApp(
+            state,
+            forwarder,
+            wire,
+            readiness_port,
+            log,
+            admin,
+            gatherer,
+            accounts=accounts,
+        )
 
     def _register_metrics(self, state, forwarder, metrics):
         create_gauge, fleet = metrics.create_gauge, forwarder.fleet
@@ -174,6 +202,7 @@
 
     def _handle_change(self, forwarder, document):
         forwarder.prune_servers(document)
+        self._lease_renewal.wake()
         if self.app.is_ready and not self._was_ready:
             self._was_ready = True
             started_ms = math.floor((trio.current_time() - self._created_at) * 1000)
--- a/src/wisteriaworks/gateway/query.py
+++ b/src/wisteriaworks/gateway/query.py
@@ -12,7 +12,7 @@
 from enum import Enum
 
 from wisteriaworks.gateway.fetch import FetchTrace
-from wisteriaworks.gateway.model import ServerAnswer
+from wisteriaworks.gateway.model import Failure, ServerAnswer
 
 # Maximum number of unanswered services that an explanation lists; listing more adds
 # no information.
@@ -28,6 +28,15 @@
     DEADLINE = "deadline"
     COVERAGE = "coverage"
     DELEGATE = "delegate"
+    KEY_REMOVED = "key_removed"
+    NOT_CONFIRMED = "not_confirmed"
+
+
+# Reasons of a request that was not sent because of its key, by the failure.
+KEY_REASONS = {
+    Failure.KEY_REMOVED: UnservedReason.KEY_REMOVED,
+    Failure.NOT_CONFIRMED: UnservedReason.NOT_CONFIRMED,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +167,10 @@
                 if not self._route.shards
                 else UnservedReason.COVERAGE
             )
+        failures = {fetch.failure for fetch in fetches}
+        for failure, reason in KEY_REASONS.items():
+            if failure in failures:
+                return reason
         if any(fetch.refusal is not None for fetch in fetches):
             return UnservedReason.REFUSED
         return UnservedReason.NO_SERVER
--- a/src/wisteriaworks/gateway/query_run.py
+++ b/src/wisteriaworks/gateway/query_run.py
@@ -6,6 +6,7 @@
 
 from wisteriaworks.gateway.gathering import GroupProgress
 from wisteriaworks.gateway.model import (
+    KEY_FAILURES,
     Answered,
     Failed,
     Failure,
@@ -23,6 +24,8 @@
 # Time that servers may still work for a caller that has disconnected.
 DISCONNECT_GRACE_S = 0.1
 LATE_CANCEL_GRACE_S = 0.35
+# The server has no part in these failures.
+_NOT_SENT = KEY_FAILURES | {Failure.ABANDONED}
 # A part has some hundred records of 16 bytes, and all parts of a query are merged.
 MAX_PART_BYTES = 1024 * 1024
 
@@ -129,6 +132,7 @@
             on_outcome=on_outcome,
             deadline_at=self._deadline_at,
             max_body_bytes=MAX_PART_BYTES if self._route.shards else MAX_ANSWER_BYTES,
+            check_key=lambda: forwarder.check_key(self._request),
         )
         self._open_sends[send_id] = (pool, exchange)
         forwarder.fleet.stats.record_send(server.id, send_id, now)
@@ -166,7 +170,7 @@
                 stats.record_address_reuse(server.id, send_id, now)
             case Refused():
                 stats.record_refusal(server.id, send_id, now)
-            case Failed(failure=Failure.ABANDONED):
+            case Failed(failure=failure) if failure in _NOT_SENT:
                 stats.discard(server.id, send_id)
             case Failed(failure=failure):
                 is_silent = failure in (Failure.TIMED_OUT, Failure.NO_CONNECTION)
--- a/src/wisteriaworks/gateway/request_log.py
+++ b/src/wisteriaworks/gateway/request_log.py
@@ -79,6 +79,11 @@
         self._count(None, "refused", kind.value, arrived_at)
         self._write(Event.REQUEST_REFUSED, None, request, arrived_at, kind=kind.value)
 
+    def record_key_refused(self, kind, route, request, arrived_at):
+        """Record a request that was refused because of its key, or the lack of one."""
+        self._count(route, "refused", kind.value, arrived_at)
+        self._write(Event.KEY_REFUSED, route, request, arrived_at, kind=kind.value)
+
     def record_disconnect(self, route, request, arrived_at):
         """Record a caller that disconnected before it was answered."""
         self._count(route, "caller_gone", "", arrived_at)
--- a/src/wisteriaworks/gateway/route_index.py
+++ b/src/wisteriaworks/gateway/route_index.py
@@ -1,8 +1,10 @@
 """Select the route of a request by host and longest path prefix."""
 
+from wisteriaworks.accounts.directory import KeyDirectory
+
 
 class RouteIndex:
-    """Index the routes of one configuration version.
+    """Index the routes and the accounts' keys of one configuration version.
 
     A lookup takes one dictionary access per path segment, whatever the number of
     routes.
@@ -11,6 +13,7 @@
     def __init__(self, document, version):
         self.version = version
         self.document = document
+        self.keys = KeyDirectory(document.accounts)
         self._routes = {(r.host, r.path_prefix): r for r in document.routes}
 
     def find(self, host, path):
--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -54,6 +54,10 @@
     return min(NEW_CONNECTION_COST_S, MAX_CONNECT_COST_SHARE * work_s)
 
 
+def _need_no_key():
+    return None
+
+
 @dataclass(eq=False, slots=True)
 class Exchange:
     """Represent one request to one server until its outcome is known.
@@ -62,6 +66,8 @@
     the time that remains then. ``on_outcome`` is called at most once, from any
     task. ``deadline_at`` is on the monotonic clock. A request that would be sent
     later is not sent. A body of more than ``max_body_bytes`` is malformed.
+    ``check_key()`` returns the Failure because of which a request with a key can't be
+    sent now, or None.
     """
 
     method: bytes
@@ -70,9 +76,14 @@
     on_outcome: Any
     deadline_at: float
     max_body_bytes: int = MAX_ANSWER_BYTES
+    check_key: Any = _need_no_key
     conn: Any = None
     is_done: bool = False
 
+    def find_obstacle(self, now):
+        """Return the Failure because of which the request can't be sent, or None."""
+        return Failure.ABANDONED if now >= self.deadline_at else self.check_key()
+
     def finish(self, outcome):
         """Report the outcome, unless one has been reported already."""
         if not self.is_done:
@@ -251,8 +262,9 @@
         While connects are paused, it fails at once if the pool has no connection.
         """
         now = trio.current_time()
-        if now >= exchange.deadline_at:
-            exchange.finish(Failed(Failure.ABANDONED, may_have_run=False))
+        obstacle = exchange.find_obstacle(now)
+        if obstacle is not None:
+            exchange.finish(Failed(obstacle, may_have_run=False))
             return
         conn = self._pop_idle(exchange, now)
         if conn is not None:
@@ -317,9 +329,11 @@
             exchange = self._waiting.popleft()
             if exchange.is_done:
                 continue
-            if now >= exchange.deadline_at:
-                # The process may have been suspended since the request was queued.
-                exchange.finish(Failed(Failure.ABANDONED, may_have_run=False))
+            # The process may have been suspended since the request was queued, or its
+            # key removed.
+            obstacle = exchange.find_obstacle(now)
+            if obstacle is not None:
+                exchange.finish(Failed(obstacle, may_have_run=False))
             elif conn.may_carry(exchange):
                 found = exchange
             else:
--- a/src/wisteriaworks/platform/config_format.py
+++ b/src/wisteriaworks/platform/config_format.py
@@ -1,5 +1,6 @@
 """Decode the operators' configuration into the document of wisteriaworks."""
 
+import hashlib
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -8,6 +9,7 @@
 from wisteriaworks.configuration import check_document, list_errors, raise_problems
 from wisteriaworks.errors import DocumentError
 from wisteriaworks.generated.document import (
+    Account,
     Document,
     Limits,
     Route,
@@ -39,6 +41,7 @@
     shard_services: tuple[str, ...] | None = None
     top_k: _Integer = 0
     min_shard_ratio: float = 0.0
+    public: bool = False
 
 
 class _Service(msgspec.Struct, rename="camel", frozen=True):
@@ -56,11 +59,20 @@
     idle_timeout_ms: _Integer = 15000
 
 
+class _Tenant(msgspec.Struct, rename="camel", frozen=True):
+    name: str
+    api_keys: tuple[str, ...] | None = None
+    priority: _Integer | None = None
+    rate_per_s: float | None = None
+    burst_size: float | None = None
+
+
 class _Configuration(msgspec.Struct, rename="camel", frozen=True):
     version: _Integer
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +104,7 @@
     return Document(
         routes=tuple(map(_make_route, wire.routes)),
         services={service.name: _make_service(service) for service in wire.services},
+        accounts=_make_accounts(wire.tenants or ()),
         limits=Limits(
             max_body_bytes=limits.max_body_bytes,
             max_header_bytes=limits.max_header_bytes,
@@ -121,6 +134,27 @@
         shards=route.shard_services or (),
         top_records=route.top_k,
         minimum_coverage=route.min_shard_ratio,
+        public=route.public,
+    )
+
+
+def _make_accounts(tenants):
+    """Return the accounts by name. Raises DocumentError."""
+    accounts = {tenant.name: _make_account(tenant) for tenant in tenants}
+    if len(accounts) < len(tenants):
+        raise DocumentError("configuration: two tenants have the same name")
+    if any(key == "" for tenant in tenants for key in tenant.api_keys or ()):
+        raise DocumentError("configuration: a key of a tenant is empty")
+    return accounts
+
+
+def _make_account(tenant):
+    hashes = (hashlib.sha256(k.encode()).hexdigest() for k in tenant.api_keys or ())
+    return Account(
+        key_sha256=tuple(dict.fromkeys(hashes)),
+        priority=tenant.priority,
+        rate_per_s=tenant.rate_per_s or 0.0,
+        burst=tenant.burst_size or 0.0,
     )
 
 
--- a/src/wisteriaworks/platform/headers.py
+++ b/src/wisteriaworks/platform/headers.py
@@ -13,12 +13,18 @@
 EXPECTED_SERVER = b"x-wisteriaworks-expected-instance"
 SIGNATURE = b"x-wisteriaworks-server-stamp"
 NOT_RUN = b"x-wisteriaworks-not-executed"
+# Key of the caller's account. It is never forwarded.
+KEY = b"x-wisteriaworks-credential"
+# Name of the caller's account, for servers.
+ACCOUNT = b"x-wisteriaworks-tenant-id"
 PART_SIGNATURES = b"x-wisteriaworks-shard-stamps"
 MISSING_PARTS = b"x-wisteriaworks-missing-shards"
 READINESS_PATH = "/api/ready"
 
 _MISDIRECTED_STATUS = 421
-_REPLACED_HEADERS = (REQUEST_ID, DEADLINE_MS, EXPECTED_SERVER, b"content-length")
+_REPLACED_HEADERS = frozenset(
+    (REQUEST_ID, DEADLINE_MS, EXPECTED_SERVER, KEY, ACCOUNT, b"content-length")
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +62,15 @@
     )
 
 
+def read_key(headers):
+    """Return the key in the headers of a caller's request, or None.
+
+    A request with several keys has none, since it does not say which one counts.
+    """
+    keys = [value for name, value in headers if name.lower() == KEY]
+    return keys[0] if len(keys) == 1 else None
+
+
 def encode_request(request, server_id, left_ms):
     """Return the bytes of a request to one server."""
     lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
@@ -63,6 +78,8 @@
     lines.append(b"%b: %b" % (REQUEST_ID, request.id))
     lines.append(b"%b: %d" % (DEADLINE_MS, left_ms))
     lines.append(b"%b: %b" % (EXPECTED_SERVER, server_id.encode()))
+    if request.account:
+        lines.append(b"%b: %b" % (ACCOUNT, request.account.encode()))
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"content-length: %d" % len(request.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
--- a/src/wisteriaworks/platform/wire.py
+++ b/src/wisteriaworks/platform/wire.py
@@ -7,6 +7,7 @@
     encode_parts,
     encode_request,
     encode_retry_after,
+    read_key,
     read_request,
 )
 from wisteriaworks.platform.server_list import make_list_path, read_list_page
@@ -20,6 +21,7 @@
     "encode_retry_after",
     "make_list_path",
     "read_configuration",
+    "read_key",
     "read_list_page",
     "read_request",
     "response_format",
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -1,11 +1,18 @@
 """Factories of servers, routes and fleets for the tests of the gateway."""
 
+import hashlib
 import random
 
 from wisteriaworks.gateway.forwarder import ServerFleet
 from wisteriaworks.gateway.model import ServerAnswer
 from wisteriaworks.gateway.server_table import make_known_servers
-from wisteriaworks.generated.document import Document, Route, Service, ServiceShare
+from wisteriaworks.generated.document import (
+    Account,
+    Document,
+    Route,
+    Service,
+    ServiceShare,
+)
 from wisteriaworks.generated.messages import ListedServer
 from wisteriaworks.generated.settings import BudgetSettings, GatewaySettings
 
@@ -65,6 +72,16 @@
     return Document(routes=routes, services=known)
 
 
+def make_accounts(**keys):
+    """Return accounts by name with their keys."""
+    return {
+        name: Account(
+            key_sha256=tuple(hashlib.sha256(k.encode()).hexdigest() for k in listed)
+        )
+        for name, listed in keys.items()
+    }
+
+
 def make_answer(status=200, body=b"", signature=b"sig", **fields):
     """Return an answer of a server."""
     defaults = {
--- a/tests/gateway/test_fetch.py
+++ b/tests/gateway/test_fetch.py
@@ -206,6 +206,22 @@
     assert not fetch.is_over
 
 
+@pytest.mark.parametrize("failure", [Failure.KEY_REMOVED, Failure.NOT_CONFIRMED])
+def test_request_whose_key_is_removed_goes_to_no_other_server(failure):
+    """The hedge is not sent, and the first send may still be answered."""
+    fetch = make_fetch()
+    barred = Failed(failure, may_have_run=False)
+    first = begin(fetch)
+    hedge = fetch.handle_timer(2.0)
+    assert fetch.handle_outcome(hedge.server.id, barred, 2.0) is None
+    assert not fetch.is_over
+    assert fetch.handle_timer(9.0) is None
+    assert fetch.handle_outcome(first, REFUSED, 9.0) is None
+    assert fetch.is_over
+    assert not fetch.may_have_run
+    assert fail_all(make_fetch(), barred) in (["i1"], ["i2"])
+
+
 def test_server_error_is_returned_if_no_other_server_answers():
     fetch = make_fetch([make_entry("i1")])
     fail_all(fetch, ERROR)
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -9,7 +9,13 @@
 import trio
 
 from wisteriaworks.gateway.answer_memory import AnswerMemory
-from wisteriaworks.gateway.model import Answered, Failed, Failure, Refused
+from wisteriaworks.gateway.model import (
+    KEY_FAILURES,
+    Answered,
+    Failed,
+    Failure,
+    Refused,
+)
 from wisteriaworks.gateway.upstream import Exchange, ServerPool
 from wisteriaworks.platform.wire import response_format
 
@@ -83,6 +89,7 @@
             lambda: self._data,
             self._on_outcome,
             deadline_at,
+            **limits,
         )
         pool.submit(self.exchange)
 
@@ -220,6 +227,20 @@
     assert server.requests == ["/a", "/c"]
 
 
+@pytest.mark.parametrize("failure", sorted(KEY_FAILURES, key=lambda f: f.value))
+async def test_key_is_checked_when_a_request_leaves_the_queue(nursery, failure):
+    """A key may be removed while its request waits for a connection."""
+    server, pool = await start(nursery, render("a"), render("c"))
+    first, queued, last = (Caller(pool, name) for name in "abc")
+    queued.exchange.check_key = lambda: failure
+    await first.wait()
+    await last.wait()
+    assert queued.outcomes == [Failed(failure, may_have_run=False)]
+    refused = Caller(pool, "d", check_key=lambda: failure)
+    assert refused.outcomes == [Failed(failure, may_have_run=False)]
+    assert server.requests == ["/a", "/c"]
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nX-Wisteriaworks-Request-Id: a\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -18,6 +18,7 @@
 from wisteriaworks.control import ControlProgram, create_group_if_first_seed
 from wisteriaworks.gateway.program import GatewayProgram
 from wisteriaworks.generated.settings import (
+    AccountSettings,
     BudgetSettings,
     ControlSettings,
     GatewaySettings,
@@ -50,6 +51,8 @@
         # Whether the server runs requests, and closes the connection then.
         self.closes_instead_of_answering = False
         self.ran = []
+        # Headers of the latest request.
+        self.headers = {}
 
     def describe(self):
         """Return the server's entry of the list."""
@@ -82,6 +85,7 @@
         """Answer one request and return whether the connection stays open."""
         lines = head.decode().split("\r\n")
         headers = dict(line.split(": ", 1) for line in lines[1:])
+        self.headers = headers
         request_id = headers["x-wisteriaworks-request-id"]
         head = f"X-Wisteriaworks-Request-Id: {request_id}\r\n"
         if headers["x-wisteriaworks-expected-instance"] != self.id:
@@ -168,6 +172,7 @@
         self.control = {}
         self.gateways = []
         self._numbers = itertools.count()
+        self.accounts = AccountSettings()
 
     async def start(self):
         """Start all programs, with empty disks and no configuration."""
@@ -226,6 +231,7 @@
         front, readiness = self._gateway_ports[2 * number : 2 * number + 2]
         return GatewaySettings(
             admin=admin,
+            accounts=self.accounts,
             peer=f"127.0.0.1:{self._peer_ports[number]}",
             link_mbps=self._links_mbps[number],
             name=f"g{number}",
@@ -245,14 +251,24 @@
         self.gateways.append(program)
 
     async def call(
-        self, method, path, body=b"", gateway=0, deadline_ms=5000, request_id=None
+        self,
+        method,
+        path,
+        body=b"",
+        gateway=0,
+        deadline_ms=5000,
+        request_id=None,
+        **more,
     ):
-        """Send a request to a gateway; return status, headers and body."""
+        """Send a request to a gateway; return status, headers and body.
+
+        ``more`` are headers of the platform, without the start of their names.
+        """
         headers = {
             "host": HOST,
             "x-wisteriaworks-request-id": request_id or f"r{next(self._numbers)}",
             "x-wisteriaworks-deadline-ms": str(deadline_ms),
-        }
+        } | {f"x-wisteriaworks-{n.replace('_', '-')}": v for n, v in more.items()}
         address = f"127.0.0.1:{self._gateway_ports[2 * gateway]}"
         return await _call(method, f"http://{address}{path}", headers, body)
 
--- a/tests/platform_adapter/test_config_format.py
+++ b/tests/platform_adapter/test_config_format.py
@@ -1,9 +1,12 @@
 """Guard against accepted invalid configurations, and rejected valid ones."""
 
+import hashlib
+
 import msgspec
 import pytest
 
 from wisteriaworks.errors import DocumentError
+from wisteriaworks.generated.document import Account
 from wisteriaworks.platform.config_format import read_configuration
 
 ROUTE = {
@@ -102,6 +105,48 @@
         read_configuration(body)
 
 
+TENANT = {
+    "name": "ralo620",
+    "apiKeys": ["secret-1", "secret-2"],
+    "priority": 1,
+    "ratePerS": 9,
+    "burstSize": 4.5,
+}
+
+
+def test_accounts_are_stored_without_their_keys():
+    body = encode(ROUTE | {"public": True}, tenants=[TENANT, {"name": "plain"}])
+    document = read_configuration(body).document
+    account = document.accounts["ralo620"]
+    digest = hashlib.sha256(b"secret-2").hexdigest()
+    assert account.key_sha256[1] == digest
+    assert (account.priority, account.rate_per_s, account.burst) == (1, 9.0, 4.5)
+    assert document.accounts["plain"] == Account()
+    assert document.routes[0].public
+    assert b"secret" not in msgspec.json.encode(document)
+    assert not read_configuration(encode(ROUTE)).document.accounts
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"name": "b", "apiKeys": ["secret-2"]},
+        {"name": "ralo620", "apiKeys": ["secret-3"]},
+        {"name": "b", "apiKeys": ["secret-4", ""]},
+        {"name": "b", "apiKeys": ["secret-4", 5]},
+        {"name": "b\r\nx: secret", "apiKeys": ["secret-4"]},
+        {"name": "b", "apiKeys": "secret-4"},
+        {"name": "b", "apiKeys": ["secret-4"], "ratePerS": -1},
+        {"apiKeys": ["secret-4"]},
+    ],
+)
+def test_invalid_accounts_are_refused_without_naming_a_key(other):
+    """Two accounts with one key could not be told apart."""
+    with pytest.raises(DocumentError) as caught:
+        read_configuration(encode(ROUTE, tenants=[TENANT, other]))
+    assert "secret-" not in caught.value.message
+
+
 def test_fields_of_later_platforms_are_ignored():
     body = encode(ROUTE | {"unknownField": "x"}, unknownField={"x": 1})
     assert read_configuration(body).version == 7
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -1,6 +1,10 @@
 """Guard against requests that reach servers altered, or with a wrong deadline."""
 
-from wisteriaworks.platform.headers import encode_request, read_request
+import dataclasses
+
+import pytest
+
+from wisteriaworks.platform.headers import encode_request, read_key, read_request
 
 HEADERS = [
     (b"host", b"h.example"),
@@ -47,6 +51,23 @@
     assert b"800" not in data
 
 
+@pytest.mark.parametrize("account", ["ralo620", ""])
+def test_server_learns_the_account_and_never_the_key(account):
+    """A caller must not pass for another account, whether accounts are used or not."""
+    forged = [(b"X-Wisteriaworks-Tenant-Id", b"forged"), (b"x-hop", b"1")]
+    secret = (b"X-Wisteriaworks-Credential", b"secret")
+    scope = make_scope(headers=[*HEADERS, *forged, secret])
+    request, _ = encode(scope)
+    assert b"secret" not in repr(request).encode()
+    request = dataclasses.replace(request, account=account)
+    data = encode_request(request, "i-7", 123).lower()
+    assert b"secret" not in data
+    assert b"forged" not in data
+    assert (b"x-wisteriaworks-tenant-id: ralo620\r\n" in data) is bool(account)
+    assert read_key(scope["headers"]) == b"secret"
+    assert read_key([*scope["headers"], secret]) is None
+
+
 def test_hop_by_hop_headers_are_dropped():
     _, data = encode(make_scope())
     assert b"x-hop" not in data
