Move services to servers of another version

Cause: an operator's rollout had no call, no state and no effect on the choice of servers.

Change: the package rollouts/ with the table of rollouts in the replicated log, the share rule and filter of a gateway, reports, a verdict by cumulative sums of log-likelihood ratios against the old version on the same route, the schedule of the promotion, and the leader's coordinator; the operators' calls; the field version of listed servers. Nothing is active without the settings rollouts.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -37,6 +37,7 @@
 from wisteriaworks.platform import wire
 from wisteriaworks.platform.operator_api import OperatorApi
 from wisteriaworks.replica import Replica
+from wisteriaworks.rollouts.coordinator import RolloutCoordinator
 from wisteriaworks.rpc import RpcServer, split_address
 from wisteriaworks.server_directory import ServerDirectory
 from wisteriaworks.settings_watch import SettingsWatch
@@ -65,8 +66,25 @@
         handlers = (
             self._service.list_handlers() | self._operator_commands.list_handlers()
         )
+        self._rollouts = self._create_rollouts(cfg, metrics)
+        if self._rollouts is not None:
+            handlers |= self._rollouts.list_handlers()
         self._server = RpcServer(handlers, _log_failure)
 
+    def _create_rollouts(self, cfg, metrics):
+        if cfg.operators is None or cfg.operators.rollouts is None:
+            return None
+        coordinator = RolloutCoordinator(
+            cfg.operators.rollouts, self._node, self._directory, self._operator_commands
+        )
+        self._operator_commands.get_rollouts = coordinator.list_states
+        metrics.create_gauge(
+            "wisteria.rollouts.running",
+            "Rollouts that are not decided",
+            coordinator.count_in_progress,
+        )
+        return coordinator
+
     @property
     def node(self):
         """Return the state that the components of the member share."""
@@ -148,7 +166,10 @@
             )
             stall_watch = StallWatch(read_boot_time())
             nursery.start_soon(keep_running, stall_watch.run)
-            app = OperatorApi(OperatorCommandClient(client), stall_watch)
+            has_rollouts = self._rollouts is not None
+            if has_rollouts:
+                nursery.start_soon(keep_running, self._rollouts.run)
+            app = OperatorApi(OperatorCommandClient(client), stall_watch, has_rollouts)
             await nursery.start(serve_http, app, cfg.listen)
             task_status.started()
 
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -105,6 +105,17 @@
     LIST_OUTDATED = _Spec(
         711, "INFO", "a list of servers is not used: its reading began earlier"
     )
+    # 74x: rollouts
+    ROLLOUT_ORDERED = _Spec(740, "INFO", "received an order for a rollout")
+    ROLLOUT_PROMOTED = _Spec(
+        741, "INFO", "all requests of a service move to the new version"
+    )
+    ROLLOUT_SUCCEEDED = _Spec(742, "INFO", "rollout has succeeded")
+    ROLLOUT_ROLLED_BACK = _Spec(743, "WARNING", "rollout is rolled back")
+    ROLLOUT_FOLLOWED = _Spec(744, "INFO", "gateway follows a phase of a rollout")
+    VERSION_STOPPED = _Spec(
+        745, "WARNING", "gateway stops sending to a version after bad answers"
+    )
 
 
 def log_failure(exc, **fields):
--- a/src/wisteriaworks/gateway/fetch.py
+++ b/src/wisteriaworks/gateway/fetch.py
@@ -132,7 +132,7 @@
         """Return the first send, or None if no server may receive it."""
         if self.policy.is_repeat:
             return self._repeat_or_end(now)
-        server = self._choose(now)
+        server = self._choose(now, is_first=True)
         if server is None:
             self._denial = Denial.NO_SERVER
             self.is_over = True
@@ -239,17 +239,25 @@
             budget.count_repeat(service, now)
         return self._send(server, is_counted, now)
 
-    def _choose(self, now):
-        untried = [s for s in self._list_usable(now) if s.id not in self._send_counts]
+    def _choose(self, now, is_first=False):
+        usable = self._list_usable(now, is_first)
+        untried = [s for s in usable if s.id not in self._send_counts]
         return self._choose_among(untried, now)
 
-    def _list_usable(self, now):
-        """Return the usable servers, without those whose address was reused."""
+    def _list_usable(self, now, is_first=False):
+        """Return the usable servers, without those whose address was reused.
+
+        During a rollout, the versions that the request may not go to are left out.
+        """
         stats = self._fleet.stats
         usable = self._fleet.table.list_usable(self.policy.service)
-        return [
+        usable = [
             server for server in usable if not stats.is_address_reused(server.id, now)
         ]
+        versions = self._fleet.versions
+        if versions is None:
+            return usable
+        return versions.narrow(self.policy.service, usable, now, is_first)
 
     def _choose_among(self, servers, now):
         warm = [s for s in servers if not self._is_cold_limited(s, now)]
@@ -285,4 +293,6 @@
         self._reached.add(server.id)
         self._running.add(server.id)
         self._hedge_at = now + self.policy.hedge_after_s
+        if self._fleet.versions is not None:
+            self._fleet.versions.count_send(server)
         return Send(server, is_repeat)
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -24,10 +24,12 @@
 from wisteriaworks.gateway.upstream import ServerPool, estimate_connect_cost
 from wisteriaworks.generated.messages import EarlierRun
 from wisteriaworks.log_limit import LogLimiter
+from wisteriaworks.rollouts.version_filter import VersionFilter
 
 SWEEP_INTERVAL_S = 0.25
 # Share of a server's connections that all gateways use together.
 CONNECTION_SHARE = 0.9
+RUN_ID_BITS = 62
 
 
 @dataclass(slots=True)
@@ -40,17 +42,20 @@
     cold: ColdLimit
     shares: FleetShares = field(default_factory=FleetShares)
     delegated_services: frozenset = frozenset()
+    # Absent if the settings have no limits on rollouts.
+    versions: VersionFilter | None = None
     _connection_limits: dict = field(default_factory=dict)
 
     @classmethod
     def create(cls, cfg, rng, now):
         """Return the initial fleet of a gateway, without servers."""
-        return cls(
-            ServerTable(),
-            ServerStats(cfg.domain, rng),
-            RetryBudget(cfg.budget, now),
-            ColdLimit(cfg.budget),
-        )
+        table, stats = ServerTable(), ServerStats(cfg.domain, rng)
+        versions = None
+        if cfg.rollouts is not None:
+            run = rng.getrandbits(RUN_ID_BITS)
+            versions = VersionFilter(cfg.rollouts, cfg.name, run, rng, table, stats)
+        budget, cold = RetryBudget(cfg.budget, now), ColdLimit(cfg.budget)
+        return cls(table, stats, budget, cold, versions=versions)
 
     def set_shares(self, shares, position, now):
         """Divide the limits between gateways; this one has number ``position``."""
--- a/src/wisteriaworks/gateway/gateway_state.py
+++ b/src/wisteriaworks/gateway/gateway_state.py
@@ -55,6 +55,7 @@
         now = self.updated_at = trio.current_time()
         self._is_list_read_directly = False
         is_changed = self._apply_configuration(update)
+        self._apply_rollouts(update, now)
         if update.list_read:
             is_changed |= self._apply_leader_list(update, now)
         if update.delegates is not None:
@@ -67,6 +68,19 @@
             self._on_change(self.routes.document)
         return True
 
+    def _apply_rollouts(self, update, now):
+        versions = self._fleet.versions
+        if versions is None:
+            return
+        versions.updated_at = now
+        for state in versions.apply_states(update.rollouts or ()):
+            log_event(
+                Event.ROLLOUT_FOLLOWED,
+                service=state.service,
+                version=state.target_version,
+                phase=state.phase.value,
+            )
+
     def apply_direct_list(self, entries, read_at):
         """Apply a list that this gateway has read itself, unless it is outdated.
 
@@ -85,6 +99,8 @@
     def _apply_leader_list(self, update, now):
         """Apply the list of an update; return whether the servers in use change."""
         read_at = read_boot_time() - update.list_age_s
+        if self._fleet.versions is not None:
+            self._fleet.versions.note_listed(update.servers)
         servers = make_known_servers(update.servers, now)
         if not update.full:
             self._lists.change_leader_list(servers, update.removed, read_at)
@@ -97,6 +113,8 @@
     def _use_current_list(self):
         """Use the newest list; return whether it is another one than before."""
         servers = self._lists.current.servers
+        if self._fleet.versions is not None:
+            self._fleet.versions.is_list_direct = self._lists.is_other_in_use
         if servers is self._servers_in_use:
             return False
         self._servers_in_use = servers
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -26,6 +26,7 @@
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.metrics import Metrics
 from wisteriaworks.platform import wire
+from wisteriaworks.rollouts.reporter import log_stop, report_versions
 from wisteriaworks.rpc import RpcServer, split_address
 from wisteriaworks.settings_watch import SettingsWatch
 
@@ -82,6 +83,8 @@
             nursery.start_soon(keep_running, log.run)
             nursery.start_soon(keep_running, self._read_list_directly, state, forwarder)
             nursery.start_soon(keep_running, self._settings.run)
+            if forwarder.fleet.versions is not None:
+                self._start_reports(nursery, forwarder.fleet.versions, metrics)
             if cfg.peer:
                 handlers = {
                     GatherParts: self.app.gather_parts,
@@ -94,6 +97,15 @@
             task_status.started()
             await trio.sleep_forever()
 
+    def _start_reports(self, nursery, versions, metrics):
+        sends = metrics.create_counter(
+            "wisteria.gateway.rollout.sends", "Sends to services during their rollouts"
+        )
+        versions.on_send = lambda kind: sends.add(1, {"version": kind})
+        versions.on_stop = log_stop
+        get_channel = functools.partial(getattr, self._watch, "leader_channel")
+        nursery.start_soon(keep_running, report_versions, versions, get_channel)
+
     def _make_app(self, state, forwarder, log, metrics, gatherer):
         admin = None
         if self._cfg.admin:
--- a/src/wisteriaworks/gateway/query_run.py
+++ b/src/wisteriaworks/gateway/query_run.py
@@ -155,7 +155,9 @@
 
     def _record_outcome(self, server, send_id, began_at, outcome, now):
         """Update the statistics of a server after the outcome of a send."""
-        stats = self._forwarder.fleet.stats
+        stats, versions = self._forwarder.fleet.stats, self._forwarder.fleet.versions
+        if versions is not None:
+            versions.record_outcome(self._route.name, server, outcome, began_at, now)
         match outcome:
             case Answered(answer) if answer.status < 500:
                 stats.record_success(server.id, send_id, now, self._median_s)
--- a/src/wisteriaworks/gateway/server_lists.py
+++ b/src/wisteriaworks/gateway/server_lists.py
@@ -38,6 +38,11 @@
             self._leader_list, self._other_list, key=lambda listed: listed.read_at
         )
 
+    @property
+    def is_other_in_use(self):
+        """Return whether the current list is not that of the followed leader."""
+        return self.current is not self._leader_list
+
     def replace_leader_list(self, servers, read_at):
         """Store the complete list of a leader that is followed from now on."""
         self._other_list = self.current
--- a/src/wisteriaworks/gateway/server_stats.py
+++ b/src/wisteriaworks/gateway/server_stats.py
@@ -125,6 +125,11 @@
         """Drop a send whose outcome does not depend on the server."""
         self._get_or_create(server_id).waiting.pop(send_id, None)
 
+    def count_waiting(self, server_id):
+        """Return the number of sends to a server without an outcome."""
+        stats = self._stats.get(server_id)
+        return 0 if stats is None else len(stats.waiting)
+
     def retain(self, server_ids):
         """Drop the statistics of all other servers."""
         self._stats = {k: v for k, v in self._stats.items() if k in server_ids}
--- a/src/wisteriaworks/gateway/server_table.py
+++ b/src/wisteriaworks/gateway/server_table.py
@@ -49,6 +49,10 @@
         """Return the number of listed servers of a service."""
         return len(self._by_service.get(service, ()))
 
+    def list_service(self, service):
+        """Return all listed servers of a service, usable or not."""
+        return self._by_service.get(service, [])
+
     def list_ids(self):
         """Return the ids of all listed servers."""
         return list(self._servers)
--- a/src/wisteriaworks/operator_commands.py
+++ b/src/wisteriaworks/operator_commands.py
@@ -28,8 +28,10 @@
     NotLeader,
     OrderDomain,
     OrderDomainReply,
+    OrderRollout,
     ProposeVersion,
     ReadMembers,
+    ReadRollout,
     ReadSource,
     ReadTicket,
     SourceReply,
@@ -95,6 +97,21 @@
             raise _refuse(order, "the order waited too long, or its sender has left")
         await self._call(order, COMMAND_TIMEOUT_S - (trio.current_time() - began_at))
 
+    async def order_rollout(self, service, target_version, duration_ms):
+        """Start a rollout; return False if another one is in progress.
+
+        Raises UnavailableError; the rollout may then have been started or not.
+        """
+        message = OrderRollout(service, target_version, duration_ms)
+        return (await self._call(message)).accepted
+
+    async def read_rollout(self, service):
+        """Return the RolloutState of a service, or None if it has had no rollout.
+
+        Raises UnavailableError if the latest state can't be confirmed.
+        """
+        return (await self._call(ReadRollout(service))).state
+
     async def _call(self, message, timeout_s=COMMAND_TIMEOUT_S):
         try:
             reply = await self._client.call(message, timeout_s)
@@ -176,6 +193,8 @@
         self._delegates = ()
         # Number of delegates, without the reserve.
         self.delegate_count = 0
+        # Returns the RolloutStates, or None if the settings have no rollouts.
+        self.get_rollouts = lambda: None
 
     def list_handlers(self):
         """Return the handler of each message type for ``RpcServer``."""
@@ -193,6 +212,10 @@
         """Return the number of gateways that watch this member."""
         return len(self._positions)
 
+    def list_watchers(self):
+        """Return the names of the gateways that watch this member."""
+        return list(self._positions)
+
     def _update_watches(self):
         # The positions and delegates are cached, because each update to each gateway
         # uses them.
@@ -224,9 +247,7 @@
 
     async def _propose(self, message, send):
         command = RaiseConfiguration(message.version, message.document, message.source)
-        reply = await self._submit(
-            command, lambda version: SourceReply(version=version)
-        )
+        reply = await self.submit(command, lambda version: SourceReply(version=version))
         if isinstance(reply, SourceReply) and reply.version == message.version:
             log_event(Event.CONFIGURATION_ACCEPTED, version=reply.version)
         return reply
@@ -234,7 +255,7 @@
     async def _read_ticket(self, message, send):
         replica = self._node.replica
         if self._node.is_stopping or not replica.is_leader:
-            return self._redirect_to_leader()
+            return self.redirect_to_leader()
         ticket = self._domain_orders.issue(replica.term, message.domain)
         return TicketReply(term=ticket.term, number=ticket.number)
 
@@ -245,7 +266,7 @@
             )
         command = SetDomain(message.domain, message.out)
         log_event(Event.DOMAIN_ORDERED, domain=message.domain, out=message.out)
-        return await self._submit(command, lambda result: OrderDomainReply())
+        return await self.submit(command, lambda result: OrderDomainReply())
 
     def _is_outdated(self, order):
         """Return whether another order for the domain was accepted since its ticket.
@@ -262,16 +283,17 @@
             replica.term, order.domain, order.out, ticket
         )
 
-    async def _submit(self, command, make_reply):
+    async def submit(self, command, make_reply):
+        """Propose a command; return the reply made of its result, or a refusal."""
         if self._node.is_stopping or not self._node.replica.is_leader:
-            return self._redirect_to_leader()
+            return self.redirect_to_leader()
         unavailable = self._describe_missing_voters()
         if unavailable:
             return SourceReply(version=0, unavailable=unavailable)
         try:
             result = await self._node.propose(command)
         except NotLeaderError:
-            return self._redirect_to_leader()
+            return self.redirect_to_leader()
         except ProposalOutcomeUnknownError as exc:
             return SourceReply(version=0, unavailable=exc.message)
         self.notify()
@@ -297,7 +319,7 @@
         try:
             await self._node.replica.confirm_leader()
         except NotLeaderError:
-            return self._redirect_to_leader()
+            return self.redirect_to_leader()
         machine = self._node.machine
         return SourceReply(version=machine.version, source=machine.source)
 
@@ -309,7 +331,8 @@
             members=tuple(replica.members),
         )
 
-    def _redirect_to_leader(self):
+    def redirect_to_leader(self):
+        """Return the reply of a member that does not lead."""
         address = self._node.replica.leader_address
         is_self = address == self._node.cfg.address
         return NotLeader(leader="" if is_self else address or "")
@@ -319,16 +342,16 @@
         await self._wait_for_leader()
         replica = self._node.replica
         if not replica.is_leader:
-            return self._redirect_to_leader()
+            return self.redirect_to_leader()
         term = replica.term
         try:
             # A leader that was suspended may have been replaced in the meantime, and
             # one that was just elected may not have applied all commands yet.
             await replica.confirm_leader()
         except NotLeaderError:
-            return self._redirect_to_leader()
+            return self.redirect_to_leader()
         version, revision = message.config_version, 0
-        delegates, known = None, message.delegates
+        delegates, known, rollouts = None, message.delegates, None
         self._watches.append(message)
         self._update_watches()
         try:
@@ -338,13 +361,16 @@
                 if delegates != self._delegates and self._may_send_delegates(known):
                     delegates, known = self._delegates, self.delegate_count
                     update = self._add_delegates(update, message)
+                if rollouts is not self.get_rollouts():
+                    rollouts = self.get_rollouts()
+                    update = msgspec.structs.replace(update, rollouts=rollouts)
                 send(update)
                 with trio.move_on_after(KEEPALIVE_S):
                     await self._changed.wait()
         finally:
             self._watches.remove(message)
             self._update_watches()
-        return self._redirect_to_leader()
+        return self.redirect_to_leader()
 
     def _leads_in(self, term):
         # The revisions of the directory begin anew in each term.
--- a/src/wisteriaworks/platform/operator_api.py
+++ b/src/wisteriaworks/platform/operator_api.py
@@ -13,11 +13,13 @@
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.operator_commands import UnavailableError
 from wisteriaworks.order_age import OrderAge
+from wisteriaworks.platform import rollout_format
 from wisteriaworks.platform.config_format import read_configuration
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 _CONFIG_PATH = "/api/config"
 _EVACUATE_PREFIX = "/api/evacuate/"
+_ROLLOUTS_PATH = "/api/rollouts"
 _IS_OUT_BY_METHOD = {"POST": True, "DELETE": False}
 
 
@@ -25,10 +27,11 @@
     """Answer the operators' calls as an ASGI app.
 
     ``operator_commands`` is an OperatorCommandClient, and ``stall_watch`` the
-    StallWatch of the process.
+    StallWatch of the process. Without ``has_rollouts``, calls for rollouts are unknown.
     """
 
-    def __init__(self, operator_commands, stall_watch):
+    def __init__(self, operator_commands, stall_watch, has_rollouts=False):
+        self._has_rollouts = has_rollouts
         self._operator_commands = operator_commands
         self._stall_watch = stall_watch
 
@@ -51,12 +54,37 @@
                 domain = path.removeprefix(_EVACUATE_PREFIX)
                 await self._set_domain(domain, _IS_OUT_BY_METHOD[method], receive)
                 return 200, b"{}"
+            if self._has_rollouts and path.startswith(_ROLLOUTS_PATH):
+                return await self._answer_rollouts(method, path, receive)
         except UnavailableError as exc:
             return 503, exc.message.encode()
         except RequestError as exc:
             return 400, exc.message.encode()
         return 404, b"no such call"
 
+    async def _answer_rollouts(self, method, path, receive):
+        if path == _ROLLOUTS_PATH and method == "POST":
+            return await self._start_rollout(await read_body(receive, MAX_BODY_BYTES))
+        if path.startswith(f"{_ROLLOUTS_PATH}/") and method == "GET":
+            service = path.removeprefix(f"{_ROLLOUTS_PATH}/")
+            state = await self._operator_commands.read_rollout(service)
+            if state is None:
+                return 404, b"the service has had no rollout"
+            return 200, rollout_format.encode_state(state)
+        return 404, b"no such call"
+
+    async def _start_rollout(self, body):
+        try:
+            order = rollout_format.read_order(body)
+        except ValueError as exc:
+            return 400, str(exc).encode()
+        is_accepted = await self._operator_commands.order_rollout(
+            order.service, order.target_version, order.duration_ms
+        )
+        if is_accepted:
+            return 200, b"{}"
+        return 409, b"another rollout of the service is in progress"
+
     async def _set_domain(self, domain, out, receive):
         now = read_boot_time()
         age = OrderAge(now, self._stall_watch.may_have_waited(now))
--- a/src/wisteriaworks/platform/server_list.py
+++ b/src/wisteriaworks/platform/server_list.py
@@ -45,10 +45,14 @@
     # Number of requests that the server runs at once, not how many it accepts.
     max_concurrency: int = msgspec.field(name="maxConcurrency")
     cold_remaining_ms: float = msgspec.field(name="coldRemainingMs", default=0.0)
+    # Absent on platforms without rollouts. Read apart, so that one that is no text
+    # does not hide the server.
+    version: msgspec.Raw = msgspec.Raw(b"")
 
 
 _PAGES = msgspec.json.Decoder(_Page)
 _ENTRIES = msgspec.json.Decoder(_Entry)
+_VERSIONS = msgspec.json.Decoder(str)
 
 
 def make_list_path(token):
@@ -123,9 +127,19 @@
         slots=max(1, entry.max_concurrency),
         draining=_IS_DRAINING_BY_STATE[entry.state],
         cold_s=max(0.0, entry.cold_remaining_ms / 1000),
+        version=_read_version(entry.version),
     )
 
 
+def _read_version(raw):
+    """Return the version of a server, or "" if it is unknown."""
+    try:
+        version = _VERSIONS.decode(raw)
+    except (ValueError, RecursionError):
+        return ""
+    return version if len(version) <= MAX_NAME_LENGTH else ""
+
+
 def _is_usable(entry):
     names = (entry.id, entry.service, entry.address, entry.zone)
     return (
--- /dev/null
+++ b/src/wisteriaworks/rollouts/reporter.py
@@ -0,0 +1,44 @@
+"""Report the answers by version from a gateway to the leader."""
+
+import trio
+
+from wisteriaworks.errors import RpcError
+from wisteriaworks.events import Event, log_event
+from wisteriaworks.generated.messages import VersionsReported
+
+CHECK_S = 0.1
+TIMEOUT_S = 0.5
+
+
+def log_stop(state):
+    """Log that this gateway stops sending to the version of a RolloutState."""
+    log_event(
+        Event.VERSION_STOPPED, service=state.service, version=state.target_version
+    )
+
+
+async def report_versions(versions, get_channel):
+    """Send the reports of a VersionFilter that are due, until cancelled.
+
+    ``get_channel`` returns the channel to the leader that the gateway follows, or None.
+    """
+    known_channel = None
+    while True:
+        await trio.sleep(CHECK_S)
+        channel = get_channel()
+        if channel is None:
+            continue
+        if channel is not known_channel:
+            known_channel = channel
+            versions.report_again()
+        for report in versions.pop_reports(trio.current_time()):
+            if not await _is_delivered(channel, report):
+                known_channel = None
+
+
+async def _is_delivered(channel, report):
+    try:
+        reply = await channel.call(report, TIMEOUT_S)
+    except RpcError:
+        return False
+    return isinstance(reply, VersionsReported)
--- a/src/wisteriaworks/server_directory.py
+++ b/src/wisteriaworks/server_directory.py
@@ -74,6 +74,11 @@
         entries = tuple(self._make_entry(record, now) for record in changed)
         return DirectoryChanges(self.revision, False, entries, tuple(removed))
 
+    def list_service(self, service):
+        """Return the listed servers of a service."""
+        records = self._records.values()
+        return [r.entry for r in records if r.entry.service == service]
+
     def _update_record(self, entry, now):
         record = self._records.get(entry.id)
         cold_until = now + entry.cold_s
@@ -93,19 +98,26 @@
             slots=entry.slots,
             draining=entry.draining,
             cold_s=cold_s,
+            version=entry.version,
         )
 
 
 def _is_same(record, entry, cold_until, now):
     old = record.entry
-    if (old.service, old.address, old.domain, old.slots, old.draining) != (
+    if _get_fields(old) != _get_fields(entry):
+        return False
+    if max(record.cold_until, cold_until) <= now:
+        return True
+    return abs(record.cold_until - cold_until) <= COLD_TOLERANCE_S
+
+
+def _get_fields(entry):
+    """Return the fields of which any difference is a change."""
+    return (
         entry.service,
         entry.address,
         entry.domain,
         entry.slots,
         entry.draining,
-    ):
-        return False
-    if max(record.cold_until, cold_until) <= now:
-        return True
-    return abs(record.cold_until - cold_until) <= COLD_TOLERANCE_S
+        entry.version,
+    )
--- a/src/wisteriaworks/state_machine.py
+++ b/src/wisteriaworks/state_machine.py
@@ -10,6 +10,7 @@
 from wisteriaworks.claim_table import ClaimTable
 from wisteriaworks.compression import compress, decompress
 from wisteriaworks.generated.commands import (
+    AdvanceRollout,
     Assign,
     ClaimRequest,
     CloseSession,
@@ -25,6 +26,7 @@
     SetDomain,
     Snapshot,
     Stamped,
+    StartRollout,
     Tick,
 )
 from wisteriaworks.generated.document import Document
@@ -34,6 +36,7 @@
     ProposeResult,
 )
 from wisteriaworks.operations import OperationTable
+from wisteriaworks.rollouts.table import RolloutTable
 from wisteriaworks.uuid7 import parse_uuid7
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -116,6 +119,7 @@
             domains_out=tuple(sorted(self.domains_out)),
             gateways=self.gateways,
             delegates=self.delegates,
+            rollouts=self.rollouts.list_records(),
         )
 
     def restore_snapshot(self, data):
@@ -152,6 +156,7 @@
         self.domains_out = frozenset(snapshot.domains_out)
         self.gateways = snapshot.gateways
         self.delegates = snapshot.delegates
+        self.rollouts = RolloutTable(snapshot.rollouts)
         self.servers = list_servers(snapshot.document)
         self.sessions = {record.number: record for record in snapshot.sessions}
         self.holdings = {holding.server: holding for holding in snapshot.holdings}
@@ -171,6 +176,8 @@
 
     def _apply(self, command):
         match command:
+            case StartRollout() | AdvanceRollout():
+                return self.rollouts.apply(command, self.applied_index)
             case PutConfiguration() | RaiseConfiguration() | SetDomain():
                 return self._apply_operator_command(command)
             case NoteGateways(count=count, delegates=delegates):
@@ -183,6 +190,11 @@
                 return self._assign(servers)
             case ReleaseServers():
                 return self._release_servers(command)
+            case ClaimRequest() | ResolveRequest() | Tick():
+                return self._apply_claim_command(command)
+
+    def _apply_claim_command(self, command):
+        match command:
             case ClaimRequest(claim=claim):
                 self._claims.drop_expired(self.time_ms, self._window_ms)
                 is_open = claim.session in self.sessions
--- a/tests/platform_adapter/test_server_list.py
+++ b/tests/platform_adapter/test_server_list.py
@@ -27,6 +27,13 @@
     (server,) = read(VALID_ENTRY).servers
     assert (server.id, server.domain, server.slots) == ("i-1", "a", 2)
     assert (server.draining, server.cold_s) == (False, 1.5)
+    assert server.version == "v1"
+
+
+@pytest.mark.parametrize("version", [7, None, {"a": 1}, "v" * 1000])
+def test_version_that_is_no_text_is_unknown(version):
+    (server,) = read(VALID_ENTRY | {"version": version}).servers
+    assert server.version == ""
 
 
 def test_draining_server_is_decoded():
