--- a/src/wisteriaworks/rollouts/coordinator.py
+++ b/src/wisteriaworks/rollouts/coordinator.py
@@ -30,6 +30,9 @@
 CHECK_S = 0.1
 # Interval at which the elapsed time is recorded, for a new leader that has restarted.
 RECORD_ELAPSED_S = 1.0
+# A gateway that watched within this time may be looking for the leader again and still
+# send to the old servers.
+WATCHED_S = 2.0
 _EVENTS = {
     RolloutPhase.PROMOTING: Event.ROLLOUT_PROMOTED,
     RolloutPhase.SUCCEEDED: Event.ROLLOUT_SUCCEEDED,
@@ -42,7 +45,8 @@
     """Hold what a member knows of a rollout beside its record."""
 
     number: int
-    tally: Tally
+    # None once the rollout is over.
+    tally: Tally | None
     phase: RolloutPhase
     phase_since: float
     elapsed_ms: int
@@ -88,6 +92,8 @@
         self._directory = directory
         self._operator_commands = operator_commands
         self._progress = {}
+        # Time at which each gateway was last seen to watch this leader.
+        self._watched_at = {}
         self._order_lock = trio.Lock()
 
     def list_handlers(self):
@@ -111,11 +117,22 @@
         while True:
             await trio.sleep(CHECK_S)
             now = self._read_time()
+            self._note_watchers(now)
             for record in self._node.machine.rollouts.list_records():
                 progress = self._follow(record, now)
                 if not is_over(record.phase) and self._leads:
                     await self._advance(record, progress, now)
 
+    def _note_watchers(self, now):
+        if not self.count_in_progress() or not self._leads:
+            self._watched_at.clear()
+            return
+        self._watched_at |= dict.fromkeys(self._operator_commands.list_watchers(), now)
+
+    def _list_senders(self, now):
+        """Return the gateways that watch this leader, or did a moment ago."""
+        return [name for name, at in self._watched_at.items() if now - at <= WATCHED_S]
+
     @property
     def _leads(self):
         return self._node.replica.is_leader and not self._node.is_stopping
@@ -136,6 +153,9 @@
             progress.term = term
             progress.confirmations.clear()
         progress.update(record, now)
+        if is_over(record.phase):
+            progress.tally = None
+            progress.confirmations.clear()
         return progress
 
     async def _advance(self, record, progress, now):
@@ -163,9 +183,7 @@
             bad_reason=progress.tally.find_reason(),
             final_bad_reason=progress.tally.find_reason(is_final=True),
             is_doubtful=progress.tally.is_doubtful,
-            unconfirmed=progress.count_unconfirmed(
-                self._operator_commands.list_watchers()
-            ),
+            unconfirmed=progress.count_unconfirmed(self._list_senders(now)),
             count_servers=functools.partial(self._count_servers, record),
         )
 
@@ -263,6 +281,7 @@
         if record is not None and record.number == message.number:
             now = self._read_time()
             progress = self._follow(record, now)
-            progress.tally.add(message, now)
+            if progress.tally is not None:
+                progress.tally.add(message, now)
             progress.confirmations[message.gateway] = message.phase, message.old_running
         return VersionsReported()
--- a/src/wisteriaworks/rollouts/verdict.py
+++ b/src/wisteriaworks/rollouts/verdict.py
@@ -188,7 +188,9 @@
         With ``is_final``, few answers suffice, because there will be no more.
         """
         for kind, sums in (("failed", self._failed_sums), ("slow", self._slow_sums)):
-            for route, evidence in sums.items():
+            # The sum over all routes has an empty key, which comes last.
+            for route in sorted(sums, reverse=True):
+                evidence = sums[route]
                 if evidence.is_bad(self._needed_servers):
                     return f"{kind} on {route}" if route else kind
         is_few = 0 < self.answered_new < FEW_ANSWERS
--- a/src/wisteriaworks/rollouts/version_filter.py
+++ b/src/wisteriaworks/rollouts/version_filter.py
@@ -96,6 +96,8 @@
             else:
                 followed.state = state
                 followed.is_changed = True
+            if is_over(state.phase):
+                self._followed[state.service].rows.clear()
             changed.append(state)
         return changed
 
@@ -142,6 +144,11 @@
                 return (old or new) if is_stopped else (new or old)
         if not old or not new:
             return old or new
+        if self._is_cut_off(now):
+            # The rollout may have succeeded and the old servers may have stopped.
+            is_any_left = any(not self._stats.is_avoided(s.id, now) for s in old)
+            if not is_any_left and not self._is_stopped(followed):
+                return new
         if self._is_stopped(followed) or not followed.share.may_send:
             return old
         if not is_first:
@@ -181,7 +188,7 @@
             row = followed.rows[key] = _Row(server.entry.version)
         row.sent += 1
         followed.is_changed = True
-        if server.is_cold(began_at - COLD_GRACE_S):
+        if server.entry.cold_s > 0 and server.is_cold(began_at - COLD_GRACE_S):
             return
         bucket = _find_outcome_bucket(outcome, now - began_at)
         if bucket is not None:
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -44,9 +44,12 @@
         self.domain = domain
         self.address = ""
         self.state = "ready"
+        self.version = "v1"
         self.delay_s = 0.0
         # Whether the server refuses all requests as not run.
         self.refuses = False
+        # Whether the server runs requests, and answers them with an error.
+        self.fails = False
         # Whether the server runs requests, and closes the connection then.
         self.closes_instead_of_answering = False
         self.ran = []
@@ -58,7 +61,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.domain,
-            "version": "v1",
+            "version": self.version,
             "maxConcurrency": 2,
             "state": self.state,
             "coldRemainingMs": 0,
@@ -96,6 +99,7 @@
             if self.closes_instead_of_answering:
                 await stream.aclose()
                 return False
+            status = "500 X" if self.fails else status
             head += f"X-Wisteriaworks-Server-Stamp: {self.id}.{request_id}\r\n"
         body = struct.pack(">QQ", len(self.ran), int(self.id[1:])) * 2
         head = f"HTTP/1.1 {status}\r\n{head}Content-Length: {len(body)}\r\n\r\n"
@@ -163,6 +167,8 @@
         self._gateway_ports = self._ports[4 : 4 + 2 * gateways]
         self._peer_ports = self._ports[4 + 2 * gateways :]
         self.hosts = [f"127.0.0.{n + 1}" for n in range(members)]
+        # Limits on rollouts in the settings of all programs.
+        self.rollouts = None
         self.seeds = tuple(f"{host}:{self._ports[1]}" for host in self.hosts[:3])
         self.scopes = {}
         self.control = {}
@@ -200,6 +206,7 @@
                 found=found,
                 server_list=self._list,
                 list_interval_s=0.2,
+                rollouts=self.rollouts,
             ),
         )
 
@@ -236,6 +243,7 @@
             member_port=self._ports[0],
             server_list=self._list,
             balancer_lag_s=0.2,
+            rollouts=self.rollouts,
             budget=BudgetSettings(retry_ratio=1.0, slack=100.0),
         )
 
--- /dev/null
+++ b/tests/rollouts/test_schedule.py
@@ -0,0 +1,80 @@
+"""Guard against promotions that exceed the allowed requests, and early successes."""
+
+import itertools
+
+import pytest
+
+from wisteriaworks.generated.messages import RolloutPhase
+from wisteriaworks.generated.settings import RolloutSettings
+from wisteriaworks.rollouts.coordinator import CHECK_S
+from wisteriaworks.rollouts.schedule import (
+    MAX_LEAD_S,
+    MAX_SETTLE_S,
+    Situation,
+    compute_lead,
+    decide,
+)
+from wisteriaworks.rollouts.share import USED_PART
+
+CFG = RolloutSettings()
+RUNNING, PROMOTING = RolloutPhase.RUNNING, RolloutPhase.PROMOTING
+SUCCEEDED, ROLLED_BACK = RolloutPhase.SUCCEEDED, RolloutPhase.ROLLED_BACK
+DUE = {"elapsed_s": 11.8, "promoted_for_s": 1.8, "phase": PROMOTING}
+
+
+def choose_phase(new_servers=3, old_servers=3, **fields):
+    defaults = {
+        "phase": RUNNING,
+        "elapsed_s": 5.0,
+        "duration_s": 12.0,
+        "lead_s": 1.8,
+        "promoted_for_s": 0.0,
+        "leading_s": 60.0,
+        "bad_reason": "",
+        "final_bad_reason": "",
+        "is_doubtful": False,
+        "unconfirmed": 0,
+        "count_servers": lambda: (new_servers, old_servers),
+    }
+    decision = decide(Situation(**(defaults | fields)))
+    return None if decision is None else decision.phase
+
+
+@pytest.mark.parametrize(
+    ("fields", "phase"),
+    [
+        ({}, None),
+        ({"bad_reason": "slow"}, ROLLED_BACK),
+        ({"elapsed_s": 10.3}, PROMOTING),
+        ({"elapsed_s": 10.3, "new_servers": 1}, None),
+        ({"elapsed_s": 11.8, "new_servers": 1}, PROMOTING),
+        ({"elapsed_s": 11.8, "new_servers": 0}, None),
+        ({"elapsed_s": 13.1, "new_servers": 0}, ROLLED_BACK),
+        (DUE | {"elapsed_s": 11.0, "promoted_for_s": 1.0}, None),
+        (DUE, SUCCEEDED),
+        (DUE | {"bad_reason": "failed"}, ROLLED_BACK),
+        (DUE | {"final_bad_reason": "failed in few answers"}, ROLLED_BACK),
+        (DUE | {"promoted_for_s": 0.5}, None),
+        (DUE | {"leading_s": 1.0}, None),
+        (DUE | {"unconfirmed": 1}, None),
+        (DUE | {"is_doubtful": True}, None),
+        (DUE | {"unconfirmed": 1, "promoted_for_s": MAX_SETTLE_S}, SUCCEEDED),
+    ],
+)
+def test_phase_follows_the_situation(fields, phase):
+    assert choose_phase(**fields) is phase
+
+
+@pytest.mark.parametrize("rate", [0, 1, 5, 20, 100, 1000])
+@pytest.mark.parametrize("duration_s", [2, 12, 60])
+def test_share_and_promotion_together_keep_to_the_allowed_requests(rate, duration_s):
+    """The version may turn out to be bad only after the promotion."""
+    used = CFG.exposure_share * USED_PART
+    for elapsed_s in (step * CHECK_S for step in itertools.count()):
+        sent = rate * elapsed_s
+        lead_s = compute_lead(CFG, duration_s, elapsed_s, sent, used * sent)
+        if duration_s - elapsed_s <= lead_s:
+            break
+    exposed = used * rate * elapsed_s + rate * (duration_s - elapsed_s)
+    assert exposed <= CFG.exposure_share * rate * duration_s + CFG.exposure_slack
+    assert lead_s <= MAX_LEAD_S
--- a/tests/test_server_directory.py
+++ b/tests/test_server_directory.py
@@ -65,3 +65,13 @@
     assert directory.list_changes(0, 1.0).servers == ()
     directory.replace([make_entry("i2")], 2.0, 2.0)
     assert [s.id for s in directory.list_changes(0, 2.0).servers] == ["i2"]
+
+
+def test_server_of_another_version_is_sent():
+    """A gateway chooses servers by their version during a rollout."""
+    directory = ServerDirectory()
+    directory.replace([make_entry("i1", version="v1")], 0.0, 0.0)
+    revision = directory.revision
+    directory.replace([make_entry("i1", version="v2")], 0.0, 0.0)
+    (entry,) = directory.list_changes(revision, 0.0).servers
+    assert entry.version == "v2"
