--- a/src/wisteriaworks/rollouts/coordinator.py
+++ b/src/wisteriaworks/rollouts/coordinator.py
@@ -18,7 +18,12 @@
     RolloutReply,
     VersionsReported,
 )
-from wisteriaworks.rollouts.schedule import Situation, compute_lead, decide
+from wisteriaworks.rollouts.schedule import (
+    Situation,
+    compute_lead,
+    compute_watch,
+    decide,
+)
 from wisteriaworks.rollouts.table import (
     OrderAction,
     classify_order,
@@ -178,6 +183,7 @@
             elapsed_s=progress.compute_elapsed(now),
             duration_s=record.duration_ms / 1000,
             lead_s=lead_s,
+            watch_s=compute_watch(progress.compute_elapsed(now), progress.tally.sent),
             promoted_for_s=now - progress.phase_since,
             leading_s=trio.current_time() - (became_leader_at or trio.current_time()),
             bad_reason=progress.tally.find_reason(),
--- a/src/wisteriaworks/rollouts/schedule.py
+++ b/src/wisteriaworks/rollouts/schedule.py
@@ -19,9 +19,11 @@
 BURST_FACTOR = 1.15
 # Time for the command and the operators' next read before the deadline.
 COMMIT_S = 0.25
-# Time that the new version is watched under all requests before it has succeeded, if
-# the deadline allows it.
-MIN_WATCH_S = 1.2
+# Time that the new version is watched under all requests before it has succeeded, also
+# past the deadline, or the time of as many requests, but no less than reports take.
+MAX_WATCH_S = 1.2
+MIN_WATCH_S = 0.5
+WATCHED_REQUESTS = 40
 # Time after the promotion for which the last gateways are awaited, also past the
 # deadline: requests at old servers break when these are stopped. A doubtful version is
 # watched as long, since it can't be rolled back after that.
@@ -40,15 +42,16 @@
 
     ``elapsed_s`` counts from the command, ``promoted_for_s`` from the promotion.
     ``unconfirmed`` is the number of gateways that have not reported that nothing runs
-    at the old servers. ``lead_s`` is the result of ``compute_lead``, and
-    ``count_servers`` returns the number of usable servers of the new version and of
-    others; it is called only near the deadline.
+    at the old servers. ``lead_s`` and ``watch_s`` are the results of ``compute_lead``
+    and ``compute_watch``. ``count_servers`` returns the number of usable servers of the
+    new version and of others; it is called only near the deadline.
     """
 
     phase: RolloutPhase
     elapsed_s: float
     duration_s: float
     lead_s: float
+    watch_s: float
     promoted_for_s: float
     leading_s: float
     bad_reason: str
@@ -80,6 +83,14 @@
     return min(longest_s, max(0.0, (allowed - sent_new) / (rate * BURST_FACTOR)))
 
 
+def compute_watch(elapsed_s, sent):
+    """Return how long a version is watched under all requests, in seconds."""
+    if sent == 0:
+        return MAX_WATCH_S
+    watch_s = WATCHED_REQUESTS * max(elapsed_s, 1.0) / sent
+    return min(MAX_WATCH_S, max(MIN_WATCH_S, watch_s))
+
+
 def decide(situation):
     """Return the Decision that is due, or None."""
     if situation.bad_reason:
@@ -106,7 +117,7 @@
 
 def _decide_promoting(situation):
     left_s = situation.duration_s - situation.elapsed_s
-    is_watched = situation.promoted_for_s >= MIN_WATCH_S and left_s <= COMMIT_S
+    is_watched = situation.promoted_for_s >= situation.watch_s and left_s <= COMMIT_S
     if not is_watched or situation.leading_s < MIN_LEADING_S:
         return None
     is_unsettled = situation.unconfirmed or situation.is_doubtful
--- a/tests/rollouts/test_schedule.py
+++ b/tests/rollouts/test_schedule.py
@@ -12,6 +12,7 @@
     MAX_SETTLE_S,
     Situation,
     compute_lead,
+    compute_watch,
     decide,
 )
 from wisteriaworks.rollouts.share import USED_PART
@@ -28,6 +29,7 @@
         "elapsed_s": 5.0,
         "duration_s": 12.0,
         "lead_s": 1.8,
+        "watch_s": 1.2,
         "promoted_for_s": 0.0,
         "leading_s": 60.0,
         "bad_reason": "",
@@ -78,3 +80,11 @@
     exposed = used * rate * elapsed_s + rate * (duration_s - elapsed_s)
     assert exposed <= CFG.exposure_share * rate * duration_s + CFG.exposure_slack
     assert lead_s <= MAX_LEAD_S
+
+
+@pytest.mark.parametrize(
+    ("rate", "watch_s"), [(0, 1.2), (20, 1.2), (50, 0.8), (500, 0.5)]
+)
+def test_version_with_many_answers_is_watched_for_less_time(rate, watch_s):
+    """A good version with many requests should succeed by its deadline too."""
+    assert compute_watch(10.0, 10 * rate) == pytest.approx(watch_s)
