Keep suspended and cut-off gateways away from a version that may be bad

Cause: a gateway that was cut off or suspended while a rollout ran could send to the new version after it had been rolled back, a promotion could go to servers in their cold start, and a new leader waited 2 s for gateways that had all found it.

Change: a gateway that is cut off for 2 s sends to old servers only, while some answer; one that did not run for 1 s reads waiting updates first; the promotion waits for warm servers; a leader that all gateways watch does not wait.

--- a/src/wisteriaworks/gateway/gateway_state.py
+++ b/src/wisteriaworks/gateway/gateway_state.py
@@ -72,7 +72,7 @@
         versions = self._fleet.versions
         if versions is None:
             return
-        versions.updated_at = now
+        versions.note_update(now)
         for state in versions.apply_states(update.rollouts or ()):
             log_event(
                 Event.ROLLOUT_FOLLOWED,
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -11,6 +11,7 @@
 
 from wisteriaworks.admin import AdminApp
 from wisteriaworks.background import keep_running
+from wisteriaworks.clocks import read_suspended_s
 from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.gateway.app import GatewayApp
 from wisteriaworks.gateway.control_watch import ControlWatch
@@ -103,6 +104,7 @@
         )
         versions.on_send = lambda kind: sends.add(1, {"version": kind})
         versions.on_stop = log_stop
+        versions.read_suspended_s = read_suspended_s
         get_channel = functools.partial(getattr, self._watch, "leader_channel")
         nursery.start_soon(keep_running, report_versions, versions, get_channel)
 
--- a/src/wisteriaworks/rollouts/coordinator.py
+++ b/src/wisteriaworks/rollouts/coordinator.py
@@ -20,6 +20,7 @@
 )
 from wisteriaworks.rollouts.schedule import (
     Situation,
+    UsableServers,
     compute_lead,
     compute_watch,
     decide,
@@ -186,6 +187,7 @@
             watch_s=compute_watch(progress.compute_elapsed(now), progress.tally.sent),
             promoted_for_s=now - progress.phase_since,
             leading_s=trio.current_time() - (became_leader_at or trio.current_time()),
+            are_all_watching=self._are_all_watching(),
             bad_reason=progress.tally.find_reason(),
             final_bad_reason=progress.tally.find_reason(is_final=True),
             is_doubtful=progress.tally.is_doubtful,
@@ -193,15 +195,22 @@
             count_servers=functools.partial(self._count_servers, record),
         )
 
+    def _are_all_watching(self):
+        """Return whether as many gateways watch this leader as the log has recorded."""
+        recorded = self._node.machine.gateways
+        return 0 < recorded <= len(self._operator_commands.list_watchers())
+
     def _count_servers(self, record):
-        """Return the usable servers of the new version and of others."""
-        machine = self._node.machine
+        """Return the UsableServers of the service."""
+        machine, now = self._node.machine, trio.current_time()
         usable = [
-            entry.version == record.target_version
-            for entry in self._directory.list_service(record.service)
+            entry
+            for entry in self._directory.list_service(record.service, now)
             if not entry.draining and entry.domain not in machine.domains_out
         ]
-        return sum(usable), len(usable) - sum(usable)
+        new = [e for e in usable if e.version == record.target_version]
+        warm = sum(entry.cold_s <= 0 for entry in new)
+        return UsableServers(new=len(new), warm=warm, old=len(usable) - len(new))
 
     async def _propose(self, record, phase, elapsed_s, reason=""):
         command = AdvanceRollout(
--- a/src/wisteriaworks/rollouts/reporter.py
+++ b/src/wisteriaworks/rollouts/reporter.py
@@ -25,6 +25,10 @@
     known_channel = None
     while True:
         await trio.sleep(CHECK_S)
+        if versions.was_stalled(trio.current_time()):
+            # Updates that arrived meanwhile are read first.
+            await trio.sleep(CHECK_S)
+        versions.note_alive(trio.current_time())
         channel = get_channel()
         if channel is None:
             continue
--- a/src/wisteriaworks/rollouts/schedule.py
+++ b/src/wisteriaworks/rollouts/schedule.py
@@ -28,7 +28,7 @@
 # deadline: requests at old servers break when these are stopped. A doubtful version is
 # watched as long, since it can't be rolled back after that.
 MAX_SETTLE_S = 3.0
-# A new leader does not know yet which gateways watch it.
+# A new leader waits so long for gateways to find it, unless all have.
 MIN_LEADING_S = 2.0
 # Time after the deadline at which a rollout without usable servers is rolled back.
 NO_SERVER_GRACE_S = 1.0
@@ -36,6 +36,15 @@
 MIN_SERVER_PART = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class UsableServers:
+    """Count the usable servers: new ones, warm ones of them, and others."""
+
+    new: int
+    warm: int
+    old: int
+
+
 @dataclass(frozen=True, slots=True)
 class Situation:
     """Describe a rollout at one moment; times are in seconds.
@@ -43,8 +52,8 @@
     ``elapsed_s`` counts from the command, ``promoted_for_s`` from the promotion.
     ``unconfirmed`` is the number of gateways that have not reported that nothing runs
     at the old servers. ``lead_s`` and ``watch_s`` are the results of ``compute_lead``
-    and ``compute_watch``. ``count_servers`` returns the number of usable servers of the
-    new version and of others; it is called only near the deadline.
+    and ``compute_watch``. ``count_servers`` returns the UsableServers; it is called
+    only near the deadline.
     """
 
     phase: RolloutPhase
@@ -54,11 +63,12 @@
     watch_s: float
     promoted_for_s: float
     leading_s: float
+    are_all_watching: bool
     bad_reason: str
     final_bad_reason: str
     is_doubtful: bool
     unconfirmed: int
-    count_servers: Callable[[], tuple[int, int]]
+    count_servers: Callable[[], UsableServers]
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,12 +114,12 @@
     left_s = situation.duration_s - situation.elapsed_s
     if left_s > situation.lead_s:
         return None
-    new_servers, old_servers = situation.count_servers()
-    if new_servers == 0:
+    servers = situation.count_servers()
+    if servers.new == 0:
         if left_s > -NO_SERVER_GRACE_S:
             return None
         return Decision(RolloutPhase.ROLLED_BACK, "no usable server")
-    is_ready = new_servers >= MIN_SERVER_PART * old_servers
+    is_ready = servers.warm >= max(1, MIN_SERVER_PART * servers.old)
     if is_ready or left_s <= COMMIT_S:
         return Decision(RolloutPhase.PROMOTING, "due")
     return None
@@ -118,7 +128,8 @@
 def _decide_promoting(situation):
     left_s = situation.duration_s - situation.elapsed_s
     is_watched = situation.promoted_for_s >= situation.watch_s and left_s <= COMMIT_S
-    if not is_watched or situation.leading_s < MIN_LEADING_S:
+    are_known = situation.are_all_watching or situation.leading_s >= MIN_LEADING_S
+    if not is_watched or not are_known:
         return None
     is_unsettled = situation.unconfirmed or situation.is_doubtful
     if is_unsettled and situation.promoted_for_s < MAX_SETTLE_S:
--- a/src/wisteriaworks/rollouts/version_filter.py
+++ b/src/wisteriaworks/rollouts/version_filter.py
@@ -22,6 +22,9 @@
 OWN_FAILURES_TO_STOP = 3
 # Without an update for this long, a gateway relies on the answers that it saw itself.
 SILENCE_S = 2.0
+# A process that did not run for this long may have missed the end of a rollout. Its
+# checks come every 0.1 s.
+STALL_S = 1.0
 # Servers may still be slow for this long after the cold start that the list states.
 COLD_GRACE_S = 1.0
 # The leader needs the confirmations of all gateways quickly before the deadline.
@@ -77,7 +80,11 @@
         self._listed_versions = {}
         # Whether the gateway has read the list in use itself.
         self.is_list_direct = False
-        self.updated_at = -math.inf
+        # Returns for how many seconds the VM has been suspended, which the monotonic
+        # clock does not count.
+        self.read_suspended_s = lambda: 0.0
+        self._updated_at = self._alive_at = -math.inf
+        self._is_checked = False
         # Called with "new" or "old" for each send during a rollout.
         self.on_send = lambda kind: None
         # Called once with the RolloutState of a version that this gateway stops using.
@@ -101,6 +108,23 @@
             changed.append(state)
         return changed
 
+    def note_update(self, now):
+        """Record that an update of the leader has arrived."""
+        self._updated_at = now + self.read_suspended_s()
+
+    def note_alive(self, now):
+        """Record that the process runs; to be called every 0.1 s."""
+        self._is_checked = True
+        self._alive_at = now + self.read_suspended_s()
+
+    def was_stalled(self, now):
+        """Return whether the process did not run until a moment ago.
+
+        An update that says that the version is bad may wait to be read.
+        """
+        stalled_s = now + self.read_suspended_s() - self._alive_at
+        return self._is_checked and stalled_s > STALL_S
+
     def note_listed(self, entries):
         """Record the versions of servers that a leader lists."""
         for entry in entries:
@@ -139,16 +163,19 @@
                 return new or old
             case RolloutPhase.ROLLED_BACK:
                 return old
+            case _ if self.was_stalled(now):
+                # Refused, unless an old server is certain to run still.
+                return old if followed.phase is RolloutPhase.RUNNING else []
             case RolloutPhase.PROMOTING:
                 is_stopped = self._is_stopped(followed) and self._is_cut_off(now)
                 return (old or new) if is_stopped else (new or old)
         if not old or not new:
             return old or new
         if self._is_cut_off(now):
-            # The rollout may have succeeded and the old servers may have stopped.
+            # The version may have turned out to be bad; or the rollout has succeeded,
+            # and the old servers were stopped.
             is_any_left = any(not self._stats.is_avoided(s.id, now) for s in old)
-            if not is_any_left and not self._is_stopped(followed):
-                return new
+            return old if is_any_left or self._is_stopped(followed) else new
         if self._is_stopped(followed) or not followed.share.may_send:
             return old
         if not is_first:
@@ -165,7 +192,7 @@
         return followed.own_failures >= OWN_FAILURES_TO_STOP
 
     def _is_cut_off(self, now):
-        return now - self.updated_at > SILENCE_S
+        return now + self.read_suspended_s() - self._updated_at > SILENCE_S
 
     def count_send(self, server):
         """Count one send for the share of the new version."""
--- a/src/wisteriaworks/server_directory.py
+++ b/src/wisteriaworks/server_directory.py
@@ -74,10 +74,10 @@
         entries = tuple(self._make_entry(record, now) for record in changed)
         return DirectoryChanges(self.revision, False, entries, tuple(removed))
 
-    def list_service(self, service):
+    def list_service(self, service, now):
         """Return the listed servers of a service."""
-        records = self._records.values()
-        return [r.entry for r in records if r.entry.service == service]
+        records = [r for r in self._records.values() if r.entry.service == service]
+        return [self._make_entry(record, now) for record in records]
 
     def _update_record(self, entry, now):
         record = self._records.get(entry.id)
