--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -14,6 +14,7 @@
 from wisteriaworks.accounts.renewal import LeaseRenewal
 from wisteriaworks.admin import AdminApp
 from wisteriaworks.background import keep_running
+from wisteriaworks.clocks import read_suspended_s
 from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.gateway.app import GatewayApp
 from wisteriaworks.gateway.control_watch import ControlWatch
@@ -33,6 +34,7 @@
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.metrics import Metrics
 from wisteriaworks.platform import wire
+from wisteriaworks.rollouts.reporter import log_stop, report_versions
 from wisteriaworks.rpc import RpcServer, split_address
 from wisteriaworks.settings_watch import SettingsWatch
 
@@ -94,6 +96,8 @@
             nursery.start_soon(keep_running, log.run)
             nursery.start_soon(keep_running, self._read_list_directly, state, forwarder)
             nursery.start_soon(keep_running, self._settings.run)
+            if forwarder.fleet.versions is not None:
+                self._start_reports(nursery, forwarder.fleet.versions, metrics)
             if cfg.peer:
                 handlers = {
                     GatherParts: self.app.gather_parts,
@@ -117,6 +121,16 @@
         )
         return gate
 
+    def _start_reports(self, nursery, versions, metrics):
+        sends = metrics.create_counter(
+            "wisteria.gateway.rollout.sends", "Sends to services during their rollouts"
+        )
+        versions.on_send = lambda kind: sends.add(1, {"version": kind})
+        versions.on_stop = log_stop
+        versions.read_suspended_s = read_suspended_s
+        get_channel = functools.partial(getattr, self._watch, "leader")
+        nursery.start_soon(keep_running, report_versions, versions, get_channel)
+
     def _make_app(self, state, forwarder, log, metrics, gatherer, accounts):
         admin = None
         if self._cfg.admin:
