Limit the requests of client accounts over all gateways

Cause: accounts have a rate and a burst over all gateways, and no part enforced them.

Change: the leader keeps a token bucket per account and gives permissions, which are charged when given and end a fixed time after the gateway asked (boot-time clock). Gateways hold standing permissions for expected requests, extend those that they have not used, and let a request wait up to a quarter of its objective. A reply is sent after the leader has confirmed its leadership, and the next leader begins with empty buckets. The permission is checked again when the request is sent. Deployments without the settings `quotas` have no handler, task or check.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -36,6 +36,7 @@
 from wisteriaworks.order_age import StallWatch
 from wisteriaworks.platform import wire
 from wisteriaworks.platform.operator_api import OperatorApi
+from wisteriaworks.quotas.service import QuotaService
 from wisteriaworks.replica import Replica
 from wisteriaworks.rpc import RpcServer, split_address
 from wisteriaworks.server_directory import ServerDirectory
@@ -62,8 +63,11 @@
         self._directory = ServerDirectory()
         self._list_follower = None
         self._operator_commands = OperatorCommandService(self._node, self._directory)
+        self._quotas = QuotaService(self._node, cfg.operators and cfg.operators.quotas)
         handlers = (
-            self._service.list_handlers() | self._operator_commands.list_handlers()
+            self._service.list_handlers()
+            | self._operator_commands.list_handlers()
+            | self._quotas.list_handlers()
         )
         self._server = RpcServer(handlers, _log_failure)
 
@@ -124,6 +128,7 @@
         if not leadership.is_leader:
             # If this member leads again, servers may have left in the meantime.
             self._directory.clear()
+            self._quotas.discard()
         if self._list_follower is not None:
             self._list_follower.wake()
 
--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -43,6 +43,8 @@
     NO_CONFIGURATION = "no_configuration"
     NO_LIVE_SERVER = "no_live_server"
     TOO_FEW_PARTS = "too_few_parts"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNAVAILABLE = "quota_unavailable"
     INTERNAL_ERROR = "internal_error"
 
 
@@ -89,6 +91,8 @@
     ErrorKind.NO_LIVE_SERVER: ErrorResponse(503, _NOT_RUN, True),
     # Some shards may have run the request, so its run state cannot be NOT_RUN.
     ErrorKind.TOO_FEW_PARTS: ErrorResponse(502, _UNKNOWN, False),
+    ErrorKind.QUOTA_EXCEEDED: ErrorResponse(429, _NOT_RUN, True),
+    ErrorKind.QUOTA_UNAVAILABLE: ErrorResponse(503, _NOT_RUN, True),
     ErrorKind.INTERNAL_ERROR: ErrorResponse(500, _UNKNOWN, False),
 }
 
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -105,6 +105,16 @@
     LIST_OUTDATED = _Spec(
         711, "INFO", "a list of servers is not used: its reading began earlier"
     )
+    # 730 to 739: limits of accounts
+    QUOTA_EXCEEDED = _Spec(730, "INFO", "request refused: account over its limit")
+    QUOTA_UNAVAILABLE = _Spec(
+        731, "WARNING", "request refused: control gave no permission for its account"
+    )
+    QUOTA_UNANSWERED = _Spec(
+        732, "WARNING", "control does not answer questions for permissions"
+    )
+    QUOTA_ANSWERED = _Spec(733, "INFO", "control answers questions for permissions")
+    QUOTAS_STARTED = _Spec(734, "INFO", "this leader gives permissions for accounts")
 
 
 def log_failure(exc, **fields):
--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -1,11 +1,13 @@
 """ASGI application that answers requests on the configured routes."""
 
+import dataclasses
 import math
 import random
 
 import trio
 
 from wisteriaworks.asgi import read_body, run_lifespan, wait_for_disconnect
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.errors import ERROR_RESPONSES, ErrorKind, RequestError, RunState
 from wisteriaworks.gateway.model import AnswerTimes, CallerRequest, ShardQuery
 from wisteriaworks.gateway.query import (
@@ -22,6 +24,8 @@
     HandedAnswer,
     PartTrace,
 )
+from wisteriaworks.quotas.gate import compute_patience
+from wisteriaworks.quotas.tokens import Granted, OverLimit, Unavailable
 
 # Retry-After of a refused caller is RETRY_AFTER_MIN_S plus a random part of
 # RETRY_AFTER_SPREAD_S. This spreads the retries, and by then the server list may be
@@ -51,11 +55,21 @@
     """Serve one gateway as an ASGI app."""
 
     def __init__(
-        self, state, forwarder, wire, readiness_port, log, admin=None, gatherer=None
+        self,
+        state,
+        forwarder,
+        wire,
+        readiness_port,
+        log,
+        admin=None,
+        gatherer=None,
+        quotas=None,
     ):
         self._state = state
         self._log = log
         self._gatherer = gatherer
+        # Limits of accounts; None if the platform has none.
+        self._quotas = quotas
         self._forwarder = forwarder
         self._wire = wire
         self._readiness_port = readiness_port
@@ -127,6 +141,9 @@
         if route is None:
             kind = ErrorKind.UNKNOWN_ROUTE
             return self._refuse_early(kind, request, arrived_at)
+        request, refusal = await self._check_quota(request, route, arrived_at)
+        if refusal is not None:
+            return refusal
         answer = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
@@ -141,6 +158,22 @@
             self._log.record_disconnect(route, request, arrived_at)
         return answer
 
+    async def _check_quota(self, request, route, arrived_at):
+        """Return the request with its permission, and the refusal if it has none."""
+        if self._quotas is None or not request.account:
+            return request, None
+        patience_s = compute_patience(route.objective_ms / 1000)
+        left_s = request.deadline_at - trio.current_time()
+        patience_s = max(0.0, min(patience_s, left_s))
+        match await self._quotas.take(request.account, read_boot_time(), patience_s):
+            case Granted(expires_at):
+                return dataclasses.replace(request, expires_at=expires_at), None
+            case OverLimit(retry_after_s):
+                kind = ErrorKind.QUOTA_EXCEEDED
+            case Unavailable(retry_after_s):
+                kind = ErrorKind.QUOTA_UNAVAILABLE
+        return request, self._refuse_early(kind, request, arrived_at, retry_after_s)
+
     async def _cancel_at_end(self, scope):
         await self._must_end.wait()
         scope.cancel()
@@ -226,17 +259,19 @@
                 self._log.record_unserved(route, request, result, kind, arrived_at)
                 return self._refuse(kind)
 
-    def _refuse_early(self, kind, request, arrived_at):
+    def _refuse_early(self, kind, request, arrived_at, retry_after_s=0.0):
         self._log.record_refused(kind, request, arrived_at)
-        return self._refuse(kind)
+        return self._refuse(kind, retry_after_s)
 
-    def _refuse(self, kind):
+    def _refuse(self, kind, retry_after_s=0.0):
         status = ERROR_RESPONSES[kind].http_status
         headers = ()
         if status in (429, 503):
             is_starting = kind is ErrorKind.NO_CONFIGURATION
             min_s = RETRY_AFTER_STARTING_S if is_starting else RETRY_AFTER_MIN_S
-            wait_s = min_s + self._rng.random() * RETRY_AFTER_SPREAD_S
+            wait_s = (
+                max(min_s, retry_after_s) + self._rng.random() * RETRY_AFTER_SPREAD_S
+            )
             headers = (self._wire.encode_retry_after(wait_s),)
         return status, headers, kind.value.encode()
 
@@ -267,6 +302,12 @@
         body=message.body,
         id=message.id,
         deadline_at=deadline_at,
+        account=message.account,
+        expires_at=(
+            read_boot_time() + message.runs_within_ms / 1000
+            if message.runs_within_ms
+            else math.inf
+        ),
     )
     times = AnswerTimes(
         partial_at=now + message.due_ms / 1000,
--- a/src/wisteriaworks/gateway/control_watch.py
+++ b/src/wisteriaworks/gateway/control_watch.py
@@ -85,6 +85,8 @@
         self._cfg = cfg
         self._state = state
         self._members = ()
+        # Channel to the leader that this gateway follows, or None.
+        self.leader_channel = None
 
     def update_settings(self, cfg):
         """Replace the settings, which apply from the next search or probe."""
@@ -144,6 +146,7 @@
                         if not search.choose(channel.address):
                             return ""
                         is_followed = True
+                        self.leader_channel = channel
                         log_event(Event.LEADER_WATCHED, address=channel.address)
                     if self._state.apply_update(unpack_update(reply)):
                         self._members = reply.members
@@ -151,6 +154,9 @@
                 reason = reason if reply is not None else silence
         except RpcError as exc:
             reason = exc.message
+        finally:
+            if self.leader_channel is channel:
+                self.leader_channel = None
         # Members that were only probed are not logged.
         if is_followed:
             log_event(Event.LEADER_SILENT, address=channel.address, reason=reason)
--- a/src/wisteriaworks/gateway/delegate_client.py
+++ b/src/wisteriaworks/gateway/delegate_client.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.errors import RpcError
 from wisteriaworks.gateway.delegation import ACCEPT_TIMEOUT_S
 from wisteriaworks.gateway.fetch import FetchTrace
@@ -169,9 +170,17 @@
             due_ms=(times.partial_at - hop_s - now) * 1000,
             return_ms=(times.deadline_at - times.give_up_at + hop_s) * 1000,
             earlier=earlier,
+            runs_within_ms=_compute_permission_ms(request),
         )
 
 
+def _compute_permission_ms(request):
+    """Return the time left of the account's permission; 0 if it needs none."""
+    if math.isinf(request.expires_at):
+        return 0.0
+    return max(0.001, (request.expires_at - read_boot_time()) * 1000)
+
+
 def _read_progress(reply, size, hop_s, delegate):
     """Return the progress that a reply states.
 
--- a/src/wisteriaworks/gateway/model.py
+++ b/src/wisteriaworks/gateway/model.py
@@ -1,5 +1,6 @@
 """Requests, answers and outcomes of a gateway."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -25,6 +26,10 @@
     body: bytes
     id: bytes
     deadline_at: float
+    # Client account, or "" if the request has none.
+    account: str = ""
+    # Boot time until which the account's permission allows the first send.
+    expires_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -26,6 +26,7 @@
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.metrics import Metrics
 from wisteriaworks.platform import wire
+from wisteriaworks.quotas.gate import GatewayQuotas
 from wisteriaworks.rpc import RpcServer, split_address
 from wisteriaworks.settings_watch import SettingsWatch
 
@@ -50,6 +51,7 @@
         self._stop = trio.Event()
         self.app = None
         self._watch = None
+        self._quotas = None
         self._settings = None
         self._peer_server = None
         self._was_ready = False
@@ -72,11 +74,14 @@
             delegates = DelegateClient(selector, forwarder.return_time, nursery)
             state.on_delegates = delegates.set_delegates
             gatherer = Gatherer(delegates, forwarder)
+            self._quotas = self._make_quotas(state, metrics)
             self.app = self._make_app(state, forwarder, log, metrics, gatherer)
             self._register_metrics(state, forwarder, metrics)
             self._watch = ControlWatch(cfg, state)
             self._settings = SettingsWatch(self._path, cfg, self._watch.update_settings)
             nursery.start_soon(keep_running, self._watch.run)
+            if self._quotas is not None:
+                nursery.start_soon(keep_running, self._quotas.run)
             nursery.start_soon(keep_running, forwarder.sweep)
             nursery.start_soon(keep_running, delegates.check_delegates)
             nursery.start_soon(keep_running, log.run)
@@ -101,7 +106,27 @@
             port = split_address(self._cfg.admin)[1]
             admin = (port, AdminApp(is_ready, metrics))
         readiness_port = split_address(self._cfg.readiness)[1]
-        return GatewayApp(state, forwarder, wire, readiness_port, log, admin, gatherer)
+        return GatewayApp(
+            state,
+            forwarder,
+            wire,
+            readiness_port,
+            log,
+            admin,
+            gatherer,
+            self._quotas,
+        )
+
+    def _make_quotas(self, state, metrics):
+        """Return the limits of accounts, or None if the platform has none."""
+        if self._cfg.quotas is None:
+            return None
+        return GatewayQuotas(
+            self._cfg.name,
+            lambda: state.routes.document.accounts,
+            lambda: self._watch.leader_channel,
+            metrics,
+        )
 
     def _register_metrics(self, state, forwarder, metrics):
         create_gauge, fleet = metrics.create_gauge, forwarder.fleet
--- a/src/wisteriaworks/gateway/query_run.py
+++ b/src/wisteriaworks/gateway/query_run.py
@@ -1,9 +1,11 @@
 """Run one query: send requests to servers, await answers, and cancel the rest."""
 
 import dataclasses
+import math
 
 import trio
 
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.gateway.gathering import GroupProgress
 from wisteriaworks.gateway.model import (
     Answered,
@@ -49,6 +51,10 @@
         self._changed = trio.Event()
         self._open_sends = {}
         self._is_ended = False
+        # Sends that were written and may have run.
+        self._written = set()
+        has_permission = math.isfinite(request.expires_at)
+        self._may_send = self._is_permitted if has_permission else None
 
     async def run(self):
         """Return the result; running sends are abandoned then."""
@@ -116,6 +122,7 @@
         pool = forwarder.get_pool(server, self._document)
 
         def encode():
+            self._written.add(send_id)
             left_s = self._deadline_at - trio.current_time()
             return forwarder.encode(self._request, server, left_s)
 
@@ -129,14 +136,24 @@
             on_outcome=on_outcome,
             deadline_at=self._deadline_at,
             max_body_bytes=MAX_PART_BYTES if self._route.shards else MAX_ANSWER_BYTES,
+            may_send=self._may_send,
         )
         self._open_sends[send_id] = (pool, exchange)
         forwarder.fleet.stats.record_send(server.id, send_id, now)
         pool.submit(exchange)
 
+    def _is_permitted(self):
+        """Return whether the account's permission covers a send now.
+
+        A request is counted once, so its first send that may run uses the permission.
+        """
+        return bool(self._written) or read_boot_time() < self._request.expires_at
+
     def _handle_outcome(self, fetch, send, send_id, began_at, outcome):
         now = trio.current_time()
         self._open_sends.pop(send_id, None)
+        if not isinstance(outcome, Answered):
+            self._written.discard(send_id)
         self._forwarder.record_send_outcome(send.is_repeat, name_outcome(outcome))
         server = send.server
         self._record_outcome(server, send_id, began_at, outcome, now)
--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -72,6 +72,14 @@
     max_body_bytes: int = MAX_ANSWER_BYTES
     conn: Any = None
     is_done: bool = False
+    # Returns whether the request may be sent now; None if only the deadline counts.
+    may_send: Any = None
+
+    def is_late(self, now):
+        """Return whether the request must not be sent any more."""
+        if now >= self.deadline_at:
+            return True
+        return self.may_send is not None and not self.may_send()
 
     def finish(self, outcome):
         """Report the outcome, unless one has been reported already."""
@@ -251,7 +259,7 @@
         While connects are paused, it fails at once if the pool has no connection.
         """
         now = trio.current_time()
-        if now >= exchange.deadline_at:
+        if exchange.is_late(now):
             exchange.finish(Failed(Failure.ABANDONED, may_have_run=False))
             return
         conn = self._pop_idle(exchange, now)
@@ -317,7 +325,7 @@
             exchange = self._waiting.popleft()
             if exchange.is_done:
                 continue
-            if now >= exchange.deadline_at:
+            if exchange.is_late(now):
                 # The process may have been suspended since the request was queued.
                 exchange.finish(Failed(Failure.ABANDONED, may_have_run=False))
             elif conn.may_carry(exchange):
--- /dev/null
+++ b/src/wisteriaworks/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests of client accounts, over all gateways."""
