--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -1,5 +1,6 @@
 """Guard against sends for disconnected callers, and to reused addresses."""
 
+import dataclasses
 import functools
 import math
 
@@ -7,6 +8,7 @@
 import trio
 from gateway_fakes import make_document, make_entry, make_route, make_settings
 
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.gateway.forwarder import Forwarder
 from wisteriaworks.gateway.model import AnswerTimes, CallerRequest
 from wisteriaworks.gateway.server_table import make_known_servers
@@ -96,3 +98,23 @@
         with trio.fail_after(10):
             await forwarder.run(request, route, ("s",), make_document(route), times)
     assert len(requests) == 1
+
+
+@pytest.mark.parametrize("left_s, sends", [(-1.0, 0), (60.0, 1)])
+async def test_request_whose_permission_has_ended_is_not_sent(nursery, left_s, sends):
+    """The process may have been suspended since the check of the account's limit."""
+    requests = []
+    forwarder = Forwarder(make_settings(), wire, nursery, create_unexported_metrics())
+    address = await start_server_at_reused_address(nursery, requests)
+    entries = [make_entry("i1", address=address)]
+    forwarder.fleet.table.assign(make_known_servers(entries, trio.current_time()))
+    route = make_route(timeout_ms=60_000)
+    request = CallerRequest(b"GET", b"/p/x", route.host, (), b"", b"id1", float("inf"))
+    request = dataclasses.replace(request, expires_at=read_boot_time() + left_s)
+    times = make_times(trio.current_time())
+    with trio.fail_after(10):
+        result = await forwarder.run(
+            request, route, ("s",), make_document(route), times
+        )
+    assert len(requests) == sends
+    assert not result.may_have_run
