--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -44,6 +44,7 @@
 from wisteriaworks.order_age import StallWatch
 from wisteriaworks.platform import wire
 from wisteriaworks.platform.operator_api import OperatorApi
+from wisteriaworks.quotas.service import QuotaService
 from wisteriaworks.replica import Replica
 from wisteriaworks.rollouts.coordinator import RolloutCoordinator
 from wisteriaworks.rpc import RpcServer, split_address
@@ -72,10 +73,12 @@
         self._list_follower = None
         self._operator_commands = OperatorCommandService(self._node, self._directory)
         self._confirmations = ConfirmationService(self._node)
+        self._quotas = QuotaService(self._node, cfg.operators and cfg.operators.quotas)
         handlers = (
             self._service.list_handlers()
             | self._operator_commands.list_handlers()
             | self._confirmations.list_handlers()
+            | self._quotas.list_handlers()
         )
         handlers[AppointFounder] = decline_to_appoint
         self._rollouts = self._create_rollouts(cfg, metrics)
@@ -160,6 +163,7 @@
         if not leadership.is_leader:
             # If this member leads again, servers may have left in the meantime.
             self._directory.clear()
+            self._quotas.discard()
         if self._list_follower is not None:
             self._list_follower.wake()
 
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -121,6 +121,16 @@
     KEY_REFUSED = _Spec(
         722, "WARNING", "request refused because of its key, or without a lease"
     )
+    # 73x: limits of accounts
+    QUOTA_EXCEEDED = _Spec(730, "INFO", "request refused: account over its limit")
+    QUOTA_UNAVAILABLE = _Spec(
+        731, "WARNING", "request refused: control gave no permission for its account"
+    )
+    QUOTA_UNANSWERED = _Spec(
+        732, "WARNING", "control does not answer questions for permissions"
+    )
+    QUOTA_ANSWERED = _Spec(733, "INFO", "control answers questions for permissions")
+    QUOTAS_STARTED = _Spec(734, "INFO", "this leader gives permissions for accounts")
     # 74x: rollouts
     ROLLOUT_ORDERED = _Spec(740, "INFO", "received an order for a rollout")
     ROLLOUT_PROMOTED = _Spec(
--- a/src/wisteriaworks/gateway/model.py
+++ b/src/wisteriaworks/gateway/model.py
@@ -1,5 +1,6 @@
 """Requests, answers and outcomes of a gateway."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -28,6 +29,8 @@
     deadline_at: float
     account: str = ""
     key_id: bytes = b""
+    # Boot time until which the account's permission allows the first send.
+    expires_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -34,6 +34,7 @@
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.metrics import Metrics
 from wisteriaworks.platform import wire
+from wisteriaworks.quotas.gate import GatewayQuotas
 from wisteriaworks.rollouts.reporter import log_stop, report_versions
 from wisteriaworks.rpc import RpcServer, split_address
 from wisteriaworks.settings_watch import SettingsWatch
@@ -59,6 +60,7 @@
         self._stop = trio.Event()
         self.app = None
         self._watch = None
+        self._quotas = None
         self._settings = None
         self._lease_renewal = None
         self._peer_server = None
@@ -83,6 +85,7 @@
             state.on_delegates = delegates.set_delegates
             gatherer = Gatherer(delegates, forwarder)
             accounts = self._make_account_gate(state, forwarder, metrics)
+            self._quotas = self._make_quotas(state, metrics)
             self.app = self._make_app(
                 state, forwarder, log, metrics, gatherer, accounts
             )
@@ -91,6 +94,8 @@
             self._settings = SettingsWatch(self._path, cfg, self._watch.update_settings)
             nursery.start_soon(keep_running, self._watch.run)
             nursery.start_soon(keep_running, self._lease_renewal.run)
+            if self._quotas is not None:
+                nursery.start_soon(keep_running, self._quotas.run)
             nursery.start_soon(keep_running, forwarder.sweep)
             nursery.start_soon(keep_running, delegates.check_delegates)
             nursery.start_soon(keep_running, log.run)
@@ -147,6 +152,18 @@
             admin,
             gatherer,
             accounts=accounts,
+            quotas=self._quotas,
+        )
+
+    def _make_quotas(self, state, metrics):
+        """Return the limits of accounts, or None if the platform has none."""
+        if self._cfg.quotas is None:
+            return None
+        return GatewayQuotas(
+            self._cfg.name,
+            lambda: state.routes.document.accounts,
+            lambda: self._watch.leader,
+            metrics,
         )
 
     def _register_metrics(self, state, forwarder, metrics):
--- a/src/wisteriaworks/gateway/query_run.py
+++ b/src/wisteriaworks/gateway/query_run.py
@@ -1,9 +1,11 @@
 """Run one query: send requests to servers, await answers, and cancel the rest."""
 
 import dataclasses
+import math
 
 import trio
 
+from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.gateway.gathering import GroupProgress
 from wisteriaworks.gateway.model import (
     KEY_FAILURES,
@@ -52,6 +54,9 @@
         self._changed = trio.Event()
         self._open_sends = {}
         self._is_ended = False
+        # Sends that were written and may have run.
+        self._written = set()
+        self._needs_permission = math.isfinite(request.expires_at)
 
     async def run(self):
         """Return the result; running sends are abandoned then."""
@@ -119,6 +124,7 @@
         pool = forwarder.get_pool(server, self._document)
 
         def encode():
+            self._written.add(send_id)
             left_s = self._deadline_at - trio.current_time()
             return forwarder.encode(self._request, server, left_s)
 
@@ -132,15 +138,31 @@
             on_outcome=on_outcome,
             deadline_at=self._deadline_at,
             max_body_bytes=MAX_PART_BYTES if self._route.shards else MAX_ANSWER_BYTES,
-            check_key=lambda: forwarder.check_key(self._request),
+            check_send=self._check_send,
         )
         self._open_sends[send_id] = (pool, exchange)
         forwarder.fleet.stats.record_send(server.id, send_id, now)
         pool.submit(exchange)
 
+    def _check_send(self):
+        """Return the Failure because of which the request can't be sent, or None."""
+        failure = self._forwarder.check_key(self._request)
+        if failure is None and self._needs_permission and not self._is_permitted():
+            return Failure.ABANDONED
+        return failure
+
+    def _is_permitted(self):
+        """Return whether the account's permission covers a send now.
+
+        A request is counted once, so its first send that may run uses the permission.
+        """
+        return bool(self._written) or read_boot_time() < self._request.expires_at
+
     def _handle_outcome(self, fetch, send, send_id, began_at, outcome):
         now = trio.current_time()
         self._open_sends.pop(send_id, None)
+        if not isinstance(outcome, Answered):
+            self._written.discard(send_id)
         self._forwarder.record_send_outcome(send.is_repeat, name_outcome(outcome))
         server = send.server
         self._record_outcome(server, send_id, began_at, outcome, now)
--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -54,7 +54,7 @@
     return min(NEW_CONNECTION_COST_S, MAX_CONNECT_COST_SHARE * work_s)
 
 
-def _need_no_key():
+def _allow_send():
     return None
 
 
@@ -66,8 +66,8 @@
     the time that remains then. ``on_outcome`` is called at most once, from any
     task. ``deadline_at`` is on the monotonic clock. A request that would be sent
     later is not sent. A body of more than ``max_body_bytes`` is malformed.
-    ``check_key()`` returns the Failure because of which a request with a key can't be
-    sent now, or None.
+    ``check_send()`` returns the Failure because of which the request can't be sent
+    now, or None.
     """
 
     method: bytes
@@ -76,13 +76,13 @@
     on_outcome: Any
     deadline_at: float
     max_body_bytes: int = MAX_ANSWER_BYTES
-    check_key: Any = _need_no_key
+    check_send: Any = _allow_send
     conn: Any = None
     is_done: bool = False
 
     def find_obstacle(self, now):
         """Return the Failure because of which the request can't be sent, or None."""
-        return Failure.ABANDONED if now >= self.deadline_at else self.check_key()
+        return Failure.ABANDONED if now >= self.deadline_at else self.check_send()
 
     def finish(self, outcome):
         """Report the outcome, unless one has been reported already."""
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -232,11 +232,11 @@
     """A key may be removed while its request waits for a connection."""
     server, pool = await start(nursery, render("a"), render("c"))
     first, queued, last = (Caller(pool, name) for name in "abc")
-    queued.exchange.check_key = lambda: failure
+    queued.exchange.check_send = lambda: failure
     await first.wait()
     await last.wait()
     assert queued.outcomes == [Failed(failure, may_have_run=False)]
-    refused = Caller(pool, "d", check_key=lambda: failure)
+    refused = Caller(pool, "d", check_send=lambda: failure)
     assert refused.outcomes == [Failed(failure, may_have_run=False)]
     assert server.requests == ["/a", "/c"]
 
