Treat a status outside 100 to 599 as malformed

Cause: the parsers accept any three digits. A server's status 600 reached callers as an answer; 000 and 099 counted as interim answers, so the caller waited until its deadline.

Change: http_status.py decides where a status is read: heads of final answers and parts (response_reader), sub-queries and health answers (backend_client), the platform's lists (list_reader, platform_list). Messages of peers carry no status. A malformed status is a failure of the server whose request may have run. An answer 101 with an upgrade is malformed too; the parser's exception for it was not caught there.

--- a/src/wisteriaworks/backend_client.py
+++ b/src/wisteriaworks/backend_client.py
@@ -12,6 +12,7 @@
 
 from wisteriaworks import backend_protocol as protocol
 from wisteriaworks.generated.subqueries import SubqueryOutcome
+from wisteriaworks.http_status import MalformedStatusError, is_final_status
 from wisteriaworks.rpc import split_address
 
 READ_BYTES = 65536
@@ -39,6 +40,7 @@
     httpcore.TimeoutException,
     httpcore.ConnectionNotAvailable,
     h11.ProtocolError,
+    MalformedStatusError,
     msgspec.MsgspecError,
     OSError,
 )
@@ -242,6 +244,7 @@
         res = await self._http.handle_async_request(
             self._make_request(method, target, content)
         )
+        is_final_status(res.status)
         data = await res.aread()
         self._stream.unanswered = False
         await res.aclose()
--- a/src/wisteriaworks/gateway/response_reader.py
+++ b/src/wisteriaworks/gateway/response_reader.py
@@ -3,6 +3,7 @@
 import httptools
 
 from wisteriaworks.gateway.model import ServerAnswer
+from wisteriaworks.http_status import MalformedStatusError, is_final_status
 
 # A larger answer is treated as malformed, since the answers of all running requests
 # have to fit into memory.
@@ -27,8 +28,6 @@
 )
 _BODILESS = (204, 304)
 _CHUNKED = b"chunked"
-# Lower statuses are those of interim answers.
-MIN_FINAL_STATUS = 200
 
 
 class MalformedAnswerError(Exception):
@@ -84,6 +83,8 @@
         self._received += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            raise MalformedAnswerError("an upgrade that was not asked for") from exc
         except httptools.HttpParserError as exc:
             if not self._is_complete:
                 raise MalformedAnswerError(repr(exc)) from exc
@@ -96,8 +97,7 @@
 
     def feed_end(self):
         """Return the answer that the end of the connection completes, or None."""
-        is_final = self._has_headers and self._status >= MIN_FINAL_STATUS
-        if self._method is None or not is_final or self._is_framed:
+        if self._method is None or not self._is_final or self._is_framed:
             return None
         return self._finish(closes_connection=True)
 
@@ -114,8 +114,11 @@
         self._headers.append((name, value))
 
     def on_headers_complete(self):
-        self._has_headers = True
         self._status = self._parser.get_status_code()
+        try:
+            self._is_final = is_final_status(self._status)
+        except MalformedStatusError as exc:
+            raise MalformedAnswerError(str(exc)) from exc
         by_name = {name.lower(): value for name, value in self._headers}
         coding = by_name.get(b"transfer-encoding", _CHUNKED).lower()
         if coding != _CHUNKED:
@@ -127,7 +130,7 @@
         )
         # The parser would wait for the body that Content-Length announces, which an
         # answer to HEAD does not have, so the connection is not used again.
-        if self._method == b"HEAD" and self._status >= MIN_FINAL_STATUS:
+        if self._method == b"HEAD" and self._is_final:
             self._is_complete = True
 
     def on_body(self, data):
@@ -137,7 +140,7 @@
 
     def on_message_complete(self):
         # An interim (1xx) answer is followed by the final answer.
-        if self._status >= MIN_FINAL_STATUS:
+        if self._is_final:
             self._is_complete = True
             # The parser resets the flags of a message once it is complete.
             self._keeps_alive = self._parser.should_keep_alive()
@@ -157,7 +160,7 @@
         self._headers = []
         self._body = bytearray()
         self._status = 0
-        self._has_headers = self._is_framed = self._keeps_alive = False
+        self._is_final = self._is_framed = self._keeps_alive = False
 
     def _finish(self, closes_connection=False):
         response_format = self._format
--- a/src/wisteriaworks/list_reader.py
+++ b/src/wisteriaworks/list_reader.py
@@ -7,6 +7,7 @@
 from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.errors import WisteriaError
 from wisteriaworks.events import Event, log_event
+from wisteriaworks.http_status import MalformedStatusError, is_final_status
 
 TIMEOUT_S = 1.0
 # A page has some hundred entries of 200 bytes.
@@ -38,7 +39,11 @@
         """
         try:
             servers = await self._read_pages(pool)
-        except (*_get_network_errors(), ListUnreadableError) as exc:
+        except (
+            *_get_network_errors(),
+            ListUnreadableError,
+            MalformedStatusError,
+        ) as exc:
             if not self._is_failing:
                 log_event(Event.PLATFORM_UNREADABLE, reason=repr(exc))
             self._is_failing = True
@@ -60,6 +65,7 @@
         timeouts = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
         url = f"http://{self._address}{self._wire.make_list_path(token)}"
         async with pool.stream("GET", url, extensions={"timeout": timeouts}) as reply:
+            is_final_status(reply.status)
             if reply.status != _OK:
                 raise ListUnreadableError(f"status {reply.status}")
             body = await _read_body(reply)
--- a/src/wisteriaworks/platform_list.py
+++ b/src/wisteriaworks/platform_list.py
@@ -5,6 +5,7 @@
 import trio
 
 from wisteriaworks.events import Event, log_event
+from wisteriaworks.http_status import MalformedStatusError, is_final_status
 
 POLL_INTERVAL_S = 1.0
 TIMEOUT_S = 2.0
@@ -26,6 +27,7 @@
     httpcore.TimeoutException,
     httpcore.NetworkError,
     httpcore.ProtocolError,
+    MalformedStatusError,
     msgspec.MsgspecError,
 )
 
@@ -52,6 +54,7 @@
         while True:
             try:
                 reply = await pool.request("GET", url, extensions={"timeout": timeouts})
+                is_final_status(reply.status)
                 if reply.status != _OK:
                     raise httpcore.ProtocolError(f"status {reply.status}")
                 on_leaving(parse_leaving(reply.content))
