Bound what untrusted clients make a program hold

Cause: the memory of unfinished requests was bounded for each request only, heads of many short lines took a hundred times their size, and open connections were not limited. header_timeout_ms was not enforced.

Change: package ingress/. client_table.py decides without I/O which clients are ended when the memory of unfinished requests or the descriptors are used up; request_reader.py and connection.py serve HTTP/1.1 on h11 for gateway, control and entry instead of hypercorn, which reads up to 10 messages of 64 kB ahead for each connection. A connection reads only when its app asks. New settings ingress.*, event 750, metrics wisteria.ingress.*.

Seen before the change with the crowds and bounds of test_untrusted_clients.py (growth of the peak, bound 16 MB): bodies with a length 61, 43 and 58 MB (gateway, control, entry), in chunks 56, 38 and 57 MB, header lines 18 MB each; 228 to 302 descriptors of 300 connections, bound 100. One-byte chunks, trailers and refused bodies stayed within the bounds.

--- a/src/wisteriaworks/admin.py
+++ b/src/wisteriaworks/admin.py
@@ -1,12 +1,13 @@
 """Serve health, readiness and metrics over HTTP."""
 
+import functools
+
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from wisteriaworks.asgi import run_lifespan, send_response
+from wisteriaworks.ingress.ingress import Ingress
+from wisteriaworks.ingress.listener import serve
 
-GRACEFUL_TIMEOUT_S = 30.0
 _HEADERS = ((b"content-type", b"text/plain; version=0.0.4; charset=utf-8"),)
 
 
@@ -42,16 +43,22 @@
         return (404, b"not found\n") if page is None else (200, page)
 
 
-async def serve_http(app, address, stop=None, *, task_status=trio.TASK_STATUS_IGNORED):
+async def serve_http(
+    app,
+    address,
+    stop=None,
+    ingress=None,
+    is_private=False,
+    *,
+    task_status=trio.TASK_STATUS_IGNORED,
+):
     """Serve an ASGI app at ``HOST:PORT`` until cancelled.
 
     When the event ``stop`` is set, close the listener and the idle
-    connections, finish the running requests, and return.
+    connections, finish the running requests, and return. ``ingress`` has the limits
+    that the ports of a process share.
     """
-    cfg = Config()
-    cfg.bind = [address]
-    cfg.accesslog = None
-    cfg.errorlog = None
-    cfg.graceful_timeout = GRACEFUL_TIMEOUT_S
-    trigger = stop.wait if stop is not None else None
-    await serve(app, cfg, shutdown_trigger=trigger, task_status=task_status)
+    public, private = ((), [address]) if is_private else ([address], ())
+    ingress = ingress or Ingress()
+    run = functools.partial(serve, app, public, ingress, private, stop)
+    await run(task_status=task_status)
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -23,6 +23,7 @@
 from wisteriaworks.events import Event, log_event, log_failure
 from wisteriaworks.fleet_size import record_fleet_size
 from wisteriaworks.gateway.control_watch import list_member_addresses
+from wisteriaworks.ingress.ingress import Ingress
 from wisteriaworks.list_reader import ListFollower, ListReader
 from wisteriaworks.log_store import LogStore, initialise_once
 from wisteriaworks.logs import configure_logs
@@ -53,8 +54,9 @@
 class ControlProgram:
     """Run one control member."""
 
-    def __init__(self, cfg, metrics, path=None):
+    def __init__(self, cfg, metrics, path=None, ingress=None):
         self._cfg = cfg
+        self._ingress = ingress or Ingress(cfg.ingress)
         self._client = None
         self._settings_watch = SettingsWatch(path, cfg, self._update_seeds)
         self._node = ControlNode(cfg, metrics)
@@ -90,7 +92,8 @@
                 # members need this one for an election.
                 listeners = await nursery.start(self._server.serve, self._cfg.address)
                 app = AdminApp(self.is_ready, self._node.metrics, self._render_page)
-                await nursery.start(serve_http, app, self._cfg.admin)
+                shared = (None, self._ingress, True)
+                await nursery.start(serve_http, app, self._cfg.admin, *shared)
                 if self._cfg.operators is not None:
                     await nursery.start(self._serve_operators, self._cfg.operators)
                 task_status.started(listeners)
@@ -149,7 +152,7 @@
             stall_watch = StallWatch(read_boot_time())
             nursery.start_soon(keep_running, stall_watch.run)
             app = OperatorApi(OperatorCommandClient(client), stall_watch)
-            await nursery.start(serve_http, app, cfg.listen)
+            await nursery.start(serve_http, app, cfg.listen, None, self._ingress)
             task_status.started()
 
     def reload(self):
@@ -249,8 +252,10 @@
     """
     configure_logs(cfg.log, PROGRAM, cfg.name)
     metrics = Metrics(PROGRAM, cfg.name)
+    # A member that starts again after a full disk keeps the metrics of its clients.
+    ingress = Ingress(cfg.ingress, metrics=metrics)
     program = MemberSupervisor(
-        functools.partial(ControlProgram, cfg, metrics, path),
+        functools.partial(ControlProgram, cfg, metrics, path, ingress),
         cfg.data_folder,
         functools.partial(create_group_if_first_seed, cfg),
     )
--- a/src/wisteriaworks/entry.py
+++ b/src/wisteriaworks/entry.py
@@ -26,6 +26,7 @@
     SubqueryBatch,
 )
 from wisteriaworks.holder import Holder
+from wisteriaworks.ingress.ingress import Ingress
 from wisteriaworks.lease import Lease
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.metrics import Metrics
@@ -59,6 +60,7 @@
         cfg, enter = self._cfg, self._stack.enter_async_context
         rng = random.Random(cfg.seed or None)
         metrics = self._metrics = Metrics(PROGRAM, cfg.name)
+        self._ingress = Ingress(cfg.ingress, metrics=metrics)
         self.nursery = await enter(trio.open_nursery())
         self._lease = Lease()
         control = await enter(ControlClient(cfg.control))
@@ -92,6 +94,9 @@
             serve_http,
             AdminApp(self.is_ready, self._metrics, self._reports.render),
             cfg.admin,
+            None,
+            self._ingress,
+            True,
         )
         await start(self._serve_api)
         log_event(Event.PROCESS_STARTED, api=cfg.api)
@@ -119,7 +124,11 @@
 
     async def _serve_api(self, *, task_status):
         await serve_http(
-            self.api, self._cfg.api, self._stop_api, task_status=task_status
+            self.api,
+            self._cfg.api,
+            self._stop_api,
+            self._ingress,
+            task_status=task_status,
         )
         self._api_stopped.set()
 
--- a/src/wisteriaworks/errors.py
+++ b/src/wisteriaworks/errors.py
@@ -21,6 +21,9 @@
 
     MALFORMED_REQUEST = "malformed_request"
     BODY_TOO_LARGE = "body_too_large"
+    HEADER_TOO_LARGE = "header_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    BUFFERS_FULL = "buffers_full"
     UNAUTHENTICATED = "unauthenticated"
     CALLER_FORBIDDEN = "caller_forbidden"
     UNKNOWN_SEARCH = "unknown_search"
@@ -66,6 +69,9 @@
 ERROR_RESPONSES = {
     ErrorKind.MALFORMED_REQUEST: ErrorResponse(400, _NOT_RUN, True),
     ErrorKind.BODY_TOO_LARGE: ErrorResponse(413, _NOT_RUN, True),
+    ErrorKind.HEADER_TOO_LARGE: ErrorResponse(431, _NOT_RUN, True),
+    ErrorKind.REQUEST_TIMEOUT: ErrorResponse(408, _NOT_RUN, True),
+    ErrorKind.BUFFERS_FULL: ErrorResponse(503, _NOT_RUN, True),
     ErrorKind.UNAUTHENTICATED: ErrorResponse(401, _NOT_RUN, True),
     ErrorKind.CALLER_FORBIDDEN: ErrorResponse(403, _NOT_RUN, True),
     ErrorKind.UNKNOWN_SEARCH: ErrorResponse(404, _NOT_RUN, True),
--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -105,6 +105,10 @@
     LIST_OUTDATED = _Spec(
         711, "INFO", "a list of servers is not used: its reading began earlier"
     )
+    # 75x: clients of all programs
+    CLIENT_REFUSED = _Spec(
+        750, "WARNING", "a request or connection of a client was ended by a limit"
+    )
 
 
 def log_failure(exc, **fields):
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -6,8 +6,6 @@
 import signal
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from wisteriaworks.admin import AdminApp
 from wisteriaworks.background import keep_running
@@ -22,6 +20,9 @@
 from wisteriaworks.gateway.list_fallback import SILENCE_TIMEOUT_S, ListFallback
 from wisteriaworks.gateway.request_log import RequestLog
 from wisteriaworks.generated.messages import GatherParts, HandedQuery
+from wisteriaworks.ingress.ingress import Ingress
+from wisteriaworks.ingress.limits import HttpLimits
+from wisteriaworks.ingress.listener import serve
 from wisteriaworks.list_reader import ListFollower, ListReader
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.metrics import Metrics
@@ -36,8 +37,6 @@
 # Time before the end of a stop at which running requests are answered, so that the
 # answers can still be sent.
 END_MARGIN_S = 0.25
-BACKLOG = 1024
-MAX_REQUESTS_PER_CONNECTION = 1_000_000
 
 
 class GatewayProgram:
@@ -46,7 +45,7 @@
     def __init__(self, cfg, path=None):
         self._cfg = cfg
         self._path = path
-        self._http = _make_http_config(cfg)
+        self._ingress = None
         self._stop = trio.Event()
         self.app = None
         self._watch = None
@@ -61,6 +60,7 @@
         self._created_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             metrics = Metrics(PROGRAM, cfg.name)
+            self._ingress = Ingress(cfg.ingress, metrics=metrics)
             forwarder = Forwarder(cfg, wire, nursery, metrics)
             state = GatewayState(
                 cfg.name,
@@ -89,8 +89,7 @@
                 }
                 self._peer_server = RpcServer(handlers, log_failure)
                 await nursery.start(self._peer_server.serve, cfg.peer)
-            serving = functools.partial(serve, shutdown_trigger=self._stop.wait)
-            await nursery.start(self._serve, serving)
+            await nursery.start(self._serve)
             task_status.started()
             await trio.sleep_forever()
 
@@ -146,8 +145,18 @@
         """Return whether this gateway can serve callers."""
         return self.app.is_ready
 
-    async def _serve(self, serving, *, task_status):
-        await serving(self.app, self._http, task_status=task_status)
+    async def _serve(self, *, task_status):
+        cfg = self._cfg
+        private = [cfg.readiness, *([cfg.admin] if cfg.admin else [])]
+        await serve(
+            self.app,
+            [cfg.listen],
+            self._ingress,
+            private,
+            self._stop,
+            cfg.stop_timeout_s,
+            task_status=task_status,
+        )
 
     async def drain(self):
         """Stop being ready, finish running requests, and close connections.
@@ -178,8 +187,12 @@
             self._was_ready = True
             started_ms = math.floor((trio.current_time() - self._created_at) * 1000)
             log_event(Event.GATEWAY_READY, after_ms=started_ms)
-        self._http.keep_alive_timeout = document.limits.idle_timeout_ms / 1000
-        self._http.h11_max_incomplete_size = document.limits.max_header_bytes
+        limits = document.limits
+        self._ingress.http = HttpLimits(
+            limits.max_header_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
 
     async def _read_list_directly(self, state, forwarder):
         """Read the server list while no update arrives from control."""
@@ -197,17 +210,6 @@
         )
 
 
-def _make_http_config(cfg):
-    http = Config()
-    http.bind = [cfg.listen, cfg.readiness, *([cfg.admin] if cfg.admin else [])]
-    http.accesslog = http.errorlog = None
-    http.backlog = BACKLOG
-    http.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
-    http.include_date_header = http.include_server_header = False
-    http.graceful_timeout = cfg.stop_timeout_s
-    return http
-
-
 async def run_until_signal(program, timeout_s):
     """Run a program until SIGTERM or SIGINT and return the exit code.
 
--- /dev/null
+++ b/src/wisteriaworks/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server for clients that are not trusted: bounded memory, descriptors, time."""
--- a/src/wisteriaworks/platform/operator_api.py
+++ b/src/wisteriaworks/platform/operator_api.py
@@ -9,7 +9,7 @@
     wait_for_disconnect,
 )
 from wisteriaworks.clocks import read_boot_time
-from wisteriaworks.errors import DocumentError, RequestError
+from wisteriaworks.errors import ERROR_RESPONSES, DocumentError, RequestError
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.operator_commands import UnavailableError
 from wisteriaworks.order_age import OrderAge
@@ -54,7 +54,8 @@
         except UnavailableError as exc:
             return 503, exc.message.encode()
         except RequestError as exc:
-            return 400, exc.message.encode()
+            status = ERROR_RESPONSES[exc.kind].http_status
+            return status, exc.message.encode()
         return 404, b"no such call"
 
     async def _set_domain(self, domain, out, receive):
