Enforce the time limits of heads and bodies, and share the processor

Cause: header_timeout_ms was read but not enforced. With 300 clients that send one-byte chunks, all connections parsed a read of 2,700 chunks (20 ms) before any other task ran, and an ordinary request was not answered within 10 s.

Change: a head ends with 408 after header_timeout_ms, a body after ingress.body_timeout_s (60 s). A read is parsed 32 chunks at a time, and at most one connection parses further chunks, or a head of more than 256 lines, before all other tasks run. A connection to a server no longer keeps the body of its last request. The templates of the platform fill the memory and the descriptors.

--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -190,7 +190,8 @@
             if exc.errno not in _WOULD_BLOCK:
                 return self.close()
             sent = 0
-        self._unsent = self._unsent[sent:]
+        # An idle connection must not keep the body of its last request.
+        self._unsent = self._unsent[sent:] or b""
         if self._unsent and self._writer_token is None:
             self._writer_token = trio.lowlevel.current_trio_token()
             self._pool.nursery.start_soon(self._send_remaining)
@@ -201,7 +202,7 @@
             while self._unsent and not self._is_closed:
                 await trio.lowlevel.wait_writable(self._sock)
                 sent = self._sock.send(self._unsent)
-                self._unsent = self._unsent[sent:]
+                self._unsent = self._unsent[sent:] or b""
         except BlockingIOError:
             self._pool.nursery.start_soon(self._send_remaining)
         except (OSError, trio.ClosedResourceError):
--- a/src/wisteriaworks/ingress/client_table.py
+++ b/src/wisteriaworks/ingress/client_table.py
@@ -101,7 +101,7 @@
         kept, since its size has limits of its own.
         """
         client.progressed_at = now
-        if client not in self.clients:
+        if client not in self.clients or client.phase is Phase.CLOSING:
             return False
         self._set_held(client, size)
         return self.held > self.max_held and self._make_room(now)
--- a/src/wisteriaworks/ingress/ingress.py
+++ b/src/wisteriaworks/ingress/ingress.py
@@ -30,6 +30,9 @@
             on_refusal=self.record_refusal,
         )
         self.is_stopping = False
+        # Held by the only connection that parses a costly part of a request, so that
+        # at most one such part is parsed before all other tasks run.
+        self.costly_part = trio.Lock()
         self._limiter = LogLimiter(LINES_PER_S)
         self._register(metrics or create_unexported_metrics())
 
--- a/src/wisteriaworks/ingress/limits.py
+++ b/src/wisteriaworks/ingress/limits.py
@@ -15,6 +15,10 @@
 # Size of a read. An app gets these bytes before more are read, so a connection holds
 # at most one read, and one head or line that is not complete.
 READ_BYTES = 16 * 1024
+# Parts of a read that are parsed at once. A read of one-byte chunks has 2,700 and takes
+# 20 ms, so that 300 connections would delay an ordinary request by seconds.
+MAX_CHUNKS_AT_ONCE = 32
+MAX_LINES_AT_ONCE = 256
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisteriaworks/ingress/request_reader.py
+++ b/src/wisteriaworks/ingress/request_reader.py
@@ -11,10 +11,16 @@
 
 from wisteriaworks.errors import ErrorKind, RequestError
 from wisteriaworks.ingress.client_table import Phase
-from wisteriaworks.ingress.limits import READ_BYTES, estimate_body, estimate_head
-
-# After a limit on time has passed, bytes that have arrived already are still read.
-# They may have waited while the process was suspended.
+from wisteriaworks.ingress.limits import (
+    MAX_CHUNKS_AT_ONCE,
+    MAX_LINES_AT_ONCE,
+    READ_BYTES,
+    estimate_body,
+    estimate_head,
+)
+
+# When a limit on time passes during a read, bytes that have arrived already are still
+# read. They may have waited while the process was suspended.
 LATE_READ_S = 0.02
 _HEADER_FIELDS_TOO_LARGE = 431
 
@@ -47,6 +53,8 @@
         # Why this connection is ended, once it is.
         self.ended = None
         self.is_ended = False
+        # Whether chunks that have been read are still to be parsed.
+        self._has_more = False
         # Whether a byte of the request has arrived.
         self.has_begun = False
         self.is_complete = False
@@ -66,7 +74,7 @@
         self.has_begun = received > 0
         end_at = now + (http.header_timeout_s if received else http.idle_timeout_s)
         while True:
-            event = self._parse()
+            event = await self._parse_head(lines)
             if isinstance(event, h11.Request):
                 # The bytes after the head belong to the body or the next request.
                 received -= len(self._h11.trailing_data[0])
@@ -98,7 +106,7 @@
         while True:
             data = self.parse_body()
             if data or self.is_complete:
-                return data
+                break
             read = await self._read(self._body_end_at)
             if read is None:
                 raise self._refuse(ErrorKind.REQUEST_TIMEOUT, "the body took too long")
@@ -106,6 +114,11 @@
                 self.is_disconnected = True
                 return None
             self._h11.receive_data(read)
+        if self._has_more:
+            async with self._ingress.costly_part:
+                data += self.parse_body()
+                await trio.lowlevel.checkpoint()
+        return data
 
     async def wait_for_end(self):
         """Wait until the client closes its side; call after the body is complete."""
@@ -130,6 +143,14 @@
         if self._h11.trailing_data[0]:
             self._client.phase = Phase.READING
 
+    async def _parse_head(self, lines):
+        if lines <= MAX_LINES_AT_ONCE:
+            return self._parse()
+        async with self._ingress.costly_part:
+            await trio.lowlevel.checkpoint()
+            self.raise_if_ended()
+            return self._parse()
+
     def _accept_head(self, request, size):
         http, cfg = self._ingress.http, self._ingress.settings
         headers = list(request.headers)
@@ -149,9 +170,10 @@
         return None
 
     def parse_body(self):
-        """Return the bytes of all chunks that have been read, joined."""
+        """Return the bytes of some chunks that have been read, joined."""
         chunks = []
-        while not self.is_complete:
+        self._has_more = True
+        while not self.is_complete and len(chunks) < MAX_CHUNKS_AT_ONCE:
             event = self._parse()
             if isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
@@ -159,8 +181,10 @@
                 self._check_trailers(event.headers)
                 self.is_complete = True
             else:
+                self._has_more = False
                 break
         data = b"".join(chunks)
+        self._has_more = self._has_more and not self.is_complete
         self._body_bytes += len(data)
         held = self._held + estimate_body(self._body_bytes)
         self._hold(held, trio.current_time())
@@ -194,6 +218,8 @@
 
         Raises RequestError if the connection is ended meanwhile.
         """
+        if trio.current_time() >= end_at:
+            return None
         data = await self._read_until(end_at)
         if data is None:
             data = await self._read_until(trio.current_time() + LATE_READ_S)
--- a/tests/platform_adapter/test_templates.py
+++ b/tests/platform_adapter/test_templates.py
@@ -28,7 +28,7 @@
     "internalPortRange": [7380, 7395],
     "seeds": ["10.1.0.6:8106", "10.2.0.27:8106"],
     "bootstrap": True,
-    "limits": {"linkMbps": 1000.0},
+    "limits": {"linkMbps": 1000.0, "memoryMb": 200, "maxOpenFiles": 1535},
     "dataDir": "/data/control",
     "bounds": {
         "retryBudgetRatio": 0.2,
