--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -142,6 +142,10 @@
     VERSION_STOPPED = _Spec(
         745, "WARNING", "gateway stops sending to a version after bad answers"
     )
+    # 75x: clients of all programs
+    CLIENT_REFUSED = _Spec(
+        750, "WARNING", "a request or connection of a client was ended by a limit"
+    )
 
 
 def log_failure(exc, **fields):
