Hold the servers' answers until the next configuration is in use

Cause: the test of keys that are removed while requests wait let servers answer after 1 s. In the one run of the whole suite, beside other work (load 15 on 7 cores), all 80 requests were sent before the gateway had the next configuration: all had status 200, and the test failed.

Change: servers answer once the gateway uses the next configuration, and the routes of these tests have 60 s, so the result depends on no time.

--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -46,6 +46,9 @@
         self.address = ""
         self.state = "ready"
         self.delay_s = 0.0
+        # Answers wait for this event.
+        self.released = trio.Event()
+        self.released.set()
         # Whether the server refuses all requests as not run.
         self.refuses = False
         # Whether the server runs requests, and closes the connection then.
@@ -97,6 +100,7 @@
             status = "200 OK"
             self.ran.append(request_id)
             await trio.sleep(self.delay_s)
+            await self.released.wait()
             if self.closes_instead_of_answering:
                 await stream.aclose()
                 return False
--- a/tests/platform_adapter/test_accounts.py
+++ b/tests/platform_adapter/test_accounts.py
@@ -29,7 +29,7 @@
     """Return a configuration with accounts, a public route and slow objectives."""
     document = json.loads(make_configuration(version))
     for route in document["routes"]:
-        route["targetLatencyMs"] = 1000
+        route |= {"targetLatencyMs": 1000, "timeoutMs": 60000}
     public = document["routes"][0] | {"name": "open", "pathPrefix": "/open/"}
     document["routes"].append(public | {"public": True})
     document["tenants"] = [{"name": n, "apiKeys": k} for n, k in keys.items()]
@@ -99,24 +99,30 @@
     assert source == make_document(6, a=["secret-a2"], b=[OTHER_KEY])
 
 
-async def test_key_that_is_removed_while_requests_wait_for_a_connection(
-    system, nursery
-):
-    """Each of the other requests holds a connection of the only pool."""
+async def test_key_that_is_removed_while_requests_wait_for_a_connection(system):
+    """All connections are in use until the gateway has the next configuration."""
+    released, replies = trio.Event(), {}
     for server in system.servers:
-        server.delay_s = 1.0
-    replies = {}
+        server.released = released
 
     async def call(number):
         replies[number] = await system.call(
-            "GET", "/once/x", gateway=1, request_id=f"w{number}", credential=KEY
+            "GET",
+            "/once/x",
+            gateway=1,
+            deadline_ms=60000,
+            request_id=f"w{number}",
+            credential=KEY,
         )
 
+    app = system.gateways[1].app
     async with trio.open_nursery() as calling:
         for number in range(80):
             calling.start_soon(call, number)
-        await system.wait_until(lambda: _is_true(count_runs(system, "w0")))
+        await system.wait_until(lambda: _is_true(app.running == 80))
         await configure(system, 6, b=[OTHER_KEY])
+        await system.wait_until(lambda: _is_true(app._state.routes.version == 6))
+        released.set()
     statuses = [reply.status for reply in replies.values()]
     assert set(statuses) == {200, 401}
     for number, reply in replies.items():
