Gather queries in the domain of their caller's gateway

Cause: where each shard has a server in every domain, all divisions of a query into one group are equally good, and the least loaded delegate was taken, so two queries in three were gathered in another domain. Parts left the domain whenever the near server was expected to take 1.5 times as long, less the random factor, whether or not it would answer in time.

Change: a route of which at least 85% of the shards have a usable server in the own domain is gathered there, unless the delegates of the domain have a backlog; shards without a near server form a group in another domain. A near server is used while it is expected to answer well before a hedge is due and is not cold, stalled or failing. A delegate with many loaded servers declines a group once, and it goes to another domain. Other layouts are divided as before. A metric counts the bytes that cross domains.

--- /dev/null
+++ b/src/wisteriaworks/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on how load and traffic are spread over servers and failure domains."""
--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -6,6 +6,7 @@
 import trio
 
 from wisteriaworks.asgi import read_body, run_lifespan, wait_for_disconnect
+from wisteriaworks.balancing.distance import LOADED
 from wisteriaworks.errors import ERROR_RESPONSES, ErrorKind, RequestError, RunState
 from wisteriaworks.gateway.model import AnswerTimes, CallerRequest, ShardQuery
 from wisteriaworks.gateway.query import (
@@ -163,9 +164,15 @@
             return GatheredParts(taken=False)
         if self.gathering_parts >= MAX_GATHERED_PARTS:
             return GatheredParts(taken=False, running=self.gathering_parts)
-        send(GatherAccepted())
         now = trio.current_time()
         query = _read_query(message, route, routes, now)
+        if message.may_decline and self._forwarder.is_near_loaded(
+            query, message.positions
+        ):
+            return GatheredParts(
+                taken=False, reason=LOADED, running=self.gathering_parts
+            )
+        send(GatherAccepted())
         size = len(message.positions)
         self.running += 1
         self.gathering_parts += size
--- a/src/wisteriaworks/gateway/delegate_client.py
+++ b/src/wisteriaworks/gateway/delegate_client.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from wisteriaworks.balancing.traffic import TrafficKind, ignore_bytes
 from wisteriaworks.errors import RpcError
 from wisteriaworks.gateway.delegation import ACCEPT_TIMEOUT_S
 from wisteriaworks.gateway.fetch import FetchTrace
@@ -38,10 +39,12 @@
 class DelegateClient:
     """Ask the gateways that ``selector`` chooses."""
 
-    def __init__(self, selector, return_time, nursery):
+    def __init__(self, selector, return_time, nursery, traffic=None):
         self.selector = selector
         self._return_time = return_time
         self._nursery = nursery
+        # Counts bytes between domains.
+        self._traffic = traffic
         # Channel and cancel scope by address.
         self._channels = {}
         self._unlisted_since = {}
@@ -86,23 +89,26 @@
         else:
             self._unreachable.discard(address)
 
-    async def ask(self, delegate, query, positions, earlier, on_progress):
+    async def ask(
+        self, delegate, query, positions, earlier, on_progress, may_decline=False
+    ):
         """Ask a delegate for some parts; return false if it sends nothing to servers.
 
         ``on_progress`` is called with each GroupProgress, the last of which is final.
-        ``earlier`` is the EarlierRun at another delegate.
+        ``earlier`` is the EarlierRun at another delegate. With ``may_decline``, the
+        delegate may decline because its servers are loaded.
 
         Raises DelegateLostError and NotAcceptedError.
         """
         began_at = trio.current_time()
-        message = self._make_message(query, positions, earlier, began_at)
+        message = self._make_message(query, positions, earlier, began_at, may_decline)
         wait_s = message.left_ms / 1000
         if query.route.objective_ms:
             objective_s = query.route.objective_ms / 1000
             wait_s = min(wait_s, MAX_WAIT_OBJECTIVES * objective_s)
         query_id = next(self._query_ids)
         self.selector.begin(delegate, query_id, len(positions), began_at)
-        has_failed, running = False, None
+        has_failed, running, decline_reason = False, None, ""
         try:
             channel = await self._open_channel(delegate.address)
             async with channel.stream(message, wait_s) as replies:
@@ -111,6 +117,7 @@
                 )
             # A delegate that declines for another reason than its load states none.
             running = reply.running if reply.taken else reply.running or None
+            decline_reason = "" if reply.taken else reply.reason
         except RpcError as exc:
             has_failed = True
             if exc.sent:
@@ -118,7 +125,9 @@
             return False
         finally:
             now = trio.current_time()
-            self.selector.end(delegate, query_id, now, has_failed, running)
+            self.selector.end(
+                delegate, query_id, now, has_failed, running, decline_reason
+            )
         return reply.taken
 
     async def _read_replies(self, delegate, replies, size, began_at, on_progress):
@@ -149,10 +158,18 @@
 
     async def _open_channel(self, address):
         if address not in self._channels:
-            self._channels[address] = await self._nursery.start(_keep_open, address)
+            count_bytes = self._choose_meter(address)
+            self._channels[address] = await self._nursery.start(
+                _keep_open, address, count_bytes
+            )
         return self._channels[address][0]
 
-    def _make_message(self, query, positions, earlier, now):
+    def _choose_meter(self, address):
+        if self._traffic is None or self.selector.is_near(address):
+            return ignore_bytes
+        return self._traffic.get_meter(TrafficKind.GROUPS)
+
+    def _make_message(self, query, positions, earlier, now, may_decline):
         request, route, times = query.request, query.route, query.times
         objective_s = route.objective_ms / 1000
         hop_s = self._return_time.estimate_hop(objective_s)
@@ -169,6 +186,7 @@
             due_ms=(times.partial_at - hop_s - now) * 1000,
             return_ms=(times.deadline_at - times.give_up_at + hop_s) * 1000,
             earlier=earlier,
+            may_decline=may_decline,
         )
 
 
@@ -194,8 +212,8 @@
     )
 
 
-async def _keep_open(address, *, task_status):
+async def _keep_open(address, count_bytes, *, task_status):
     with trio.CancelScope() as scope:
-        async with Channel(address, CONNECT_TIMEOUT_S) as channel:
+        async with Channel(address, CONNECT_TIMEOUT_S, count_bytes) as channel:
             task_status.started((channel, scope))
             await trio.sleep_forever()
--- a/src/wisteriaworks/gateway/delegation.py
+++ b/src/wisteriaworks/gateway/delegation.py
@@ -6,12 +6,19 @@
 hundredth of the bytes of the answers. When most of these VMs are down, or when slow
 shards make their answers late, hundreds of gateways that queried the shards
 themselves would exceed the servers' connections, so the queries go to a reserve of
-a few other gateways, or wait at the delegates that are alive. No I/O.
+a few other gateways, or wait at the delegates that are alive. Where each shard has a
+server in the domain of the caller's gateway, a query stays there unless the delegates
+or the servers of the domain are loaded. No I/O.
 """
 
 import math
 from dataclasses import dataclass, field
 
+from wisteriaworks.balancing.distance import (
+    LOADED,
+    SpillMemory,
+    compute_backlog_limit,
+)
 from wisteriaworks.gateway.gathering import Group
 
 # Bytes of one shard's answer with its headers; the largest bodies in the platform
@@ -63,17 +70,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Represent a group of the shards of a query and the delegate that gathers it."""
+    """Represent a group of the shards of a query and the delegate that gathers it.
+
+    ``is_near`` is whether the query is gathered in the own domain by preference, so
+    that the delegate may decline the group while its servers are loaded.
+    """
 
     delegate: object
     group: Group
+    is_near: bool = False
 
 
 class DelegateSelector:
     """Select the gateways that gather the parts of a query."""
 
-    def __init__(self, name, link_mbps, rng):
+    def __init__(self, name, link_mbps, rng, domain=""):
         self._name = name
+        self._domain = domain
+        self._spill = SpillMemory()
         self._link_mbps = link_mbps
         self._rng = rng
         self._states = {}
@@ -95,6 +109,13 @@
         """Return the addresses of all delegates, those of the reserve included."""
         return {state.delegate.address for state in self._states.values()}
 
+    def is_near(self, address):
+        """Return whether the delegate at an address is in the own domain."""
+        return any(
+            state.delegate.address == address and state.delegate.domain == self._domain
+            for state in self._states.values()
+        )
+
     def list_faster(self):
         """Return the delegates that are preferred to running a query locally."""
         delegates = (state.delegate for state in self._states.values())
@@ -120,13 +141,49 @@
             )
             for domain, known in by_domain.items()
         }
-        divisions = planner.list_divisions(route.shards, frozenset(best))
-        chosen = min(divisions, key=lambda groups: max(best[g.domain] for g in groups))
+        chosen = self._place_near(route, planner, best, now)
+        is_near = chosen is not None
+        if not is_near:
+            domains = frozenset(d for d in best if not self._spill.is_loaded(d, now))
+            divisions = planner.list_divisions(route.shards, domains or frozenset(best))
+            chosen = min(
+                divisions, key=lambda groups: max(best[g.domain] for g in groups)
+            )
         return tuple(
-            Placement(self._states[best[group.domain][2]].delegate, group)
+            Placement(
+                self._states[best[group.domain][2]].delegate,
+                group,
+                is_near and group.domain == self._domain,
+            )
             for group in chosen
         )
 
+    def _place_near(self, route, planner, best, now):
+        """Return the groups of a query that stays in the own domain, or None.
+
+        ``best`` has the load of the best delegate of each domain.
+        """
+        own = self._domain
+        if own not in best or self._spill.is_loaded(own, now):
+            return None
+        others = sorted((domain for domain in best if domain != own), key=best.get)
+        if others:
+            excess = best[own][0] - best[others[0]][0]
+            if excess > compute_backlog_limit(route.objective_ms / 1000):
+                return None
+        return planner.find_near_division(route.shards, own, others)
+
+    def may_decline(self, delegate, route, now):
+        """Return whether a delegate with loaded servers may decline a group.
+
+        It may if there is a delegate in another domain whose servers are not loaded.
+        """
+        return any(
+            state.delegate.domain != delegate.domain
+            and not self._spill.is_loaded(state.delegate.domain, now)
+            for state in self._list_candidates(route, now)
+        )
+
     def choose(self, route, domain, now, excluded):
         """Return another delegate for a group of shards in a domain, or None.
 
@@ -178,13 +235,24 @@
             # The delegate reads the queries of a connection in order.
             state.unaccepted.clear()
 
-    def end(self, delegate, query_id, now, has_failed=False, running=None):
+    def end(
+        self,
+        delegate,
+        query_id,
+        now,
+        has_failed=False,
+        running=None,
+        decline_reason="",
+    ):
         """Record the end of a query.
 
         ``running`` is the number of parts that the delegate states to gather. With
         ``has_failed``, the delegate is avoided for AVOID_S seconds. A query that
         was not accepted continues to count as such until another one is.
+        ``decline_reason`` is what the delegate stated if it declined the query.
         """
+        if decline_reason == LOADED:
+            self._spill.record(delegate.domain, now)
         state = self._states.get(delegate.name)
         if state is None:
             return
@@ -201,6 +269,8 @@
         cost = state.estimate_load(now)
         if state.delegate.domain != domain:
             cost += OTHER_DOMAIN_PARTS
+        if self._spill.is_loaded(state.delegate.domain, now):
+            cost += 2 * OTHER_DOMAIN_PARTS
         return cost, self._rng.random()
 
     def _is_silent(self, state, now):
--- a/src/wisteriaworks/gateway/fetch.py
+++ b/src/wisteriaworks/gateway/fetch.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from wisteriaworks.balancing.distance import compute_near_limit
 from wisteriaworks.gateway.model import (
     Answered,
     Failed,
@@ -68,6 +69,8 @@
     ``hedge_after_s`` is the time after which an answer counts as late, and
     ``median_s`` the median time of an answer on the route. With ``is_repeat``,
     another gateway may have sent the request, so even the first send is a repeat.
+    With ``prefers_near``, servers of the own domain are preferred if their answers
+    are expected in time before ``due_at``.
     """
 
     service: str
@@ -77,6 +80,8 @@
     hedge_after_s: float
     median_s: float = 0.02
     is_repeat: bool = False
+    prefers_near: bool = False
+    due_at: float = math.inf
 
 
 class Fetch:
@@ -253,12 +258,19 @@
 
     def _choose_among(self, servers, now):
         warm = [s for s in servers if not self._is_cold_limited(s, now)]
-        chosen = self._fleet.stats.choose(warm, now, self.policy.median_s)
+        near_limit_s = self._compute_near_limit(now)
+        chosen = self._fleet.stats.choose(warm, now, self.policy.median_s, near_limit_s)
         if chosen is not None:
             return chosen
         cold = [s for s in servers if self._is_cold_limited(s, now)]
         return self._choose_cold(cold, now)
 
+    def _compute_near_limit(self, now):
+        policy, is_repeat = self.policy, bool(self._reached)
+        if not policy.prefers_near:
+            return 0.0
+        return compute_near_limit(now, policy.due_at, policy.hedge_after_s, is_repeat)
+
     def _list_retryable(self, now):
         """Return the servers that may get the request once more."""
         return [
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -7,6 +7,12 @@
 
 import trio
 
+from wisteriaworks.balancing.distance import (
+    MAX_LOADED_SHARE,
+    NearShards,
+    compute_near_limit,
+)
+from wisteriaworks.balancing.traffic import TrafficKind, TrafficMeter, ignore_bytes
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.gateway.answer_memory import AnswerMemory
 from wisteriaworks.gateway.cold_limit import ColdLimit
@@ -96,6 +102,9 @@
         )
         self._rng = random.Random(cfg.seed or None)
         self.fleet = ServerFleet.create(cfg, self._rng, trio.current_time())
+        self._near_shards = NearShards(self.fleet.table, cfg.domain)
+        self._domain = cfg.domain
+        self.traffic = TrafficMeter(metrics)
         self._wire = wire
         self._nursery = nursery
         self._pools = {}
@@ -170,6 +179,7 @@
         available_s = times.partial_at - now if route.shards else math.inf
         hedge_after_s = delay_estimator.compute_delay(now, available_s)
         median_s = delay_estimator.read_median(now)
+        prefers_near = self._near_shards.covers(route.shards)
         return {
             service: Fetch(
                 FetchPolicy(
@@ -182,6 +192,8 @@
                     # A gateway without power, or suspended, which does not accept
                     # a query has most likely not sent it.
                     is_repeat=earlier is EarlierRun.ACCEPTED,
+                    prefers_near=prefers_near,
+                    due_at=times.partial_at,
                 ),
                 self.fleet,
             )
@@ -235,6 +247,7 @@
                 self._wire.response_format,
                 self._nursery,
                 self._memory,
+                self._meter_pool(server),
             )
             self._pools[server.id] = pool
         limit = self.fleet.limit_connections(server, document)
@@ -242,6 +255,32 @@
             pool.limit = limit
         return pool
 
+    def _meter_pool(self, server):
+        if server.entry.domain == self._domain:
+            return ignore_bytes
+        return self.traffic.get_meter(TrafficKind.PARTS)
+
+    def is_near_loaded(self, query, positions):
+        """Return whether the servers of the own domain should not get a group.
+
+        That is the case if many of them are not expected to answer in time.
+        """
+        shards, route, now = query.route.shards, query.route, trio.current_time()
+        delay_estimator = self.get_delay_estimator(route)
+        median_s = delay_estimator.read_median(now)
+        due_at = query.times.partial_at
+        hedge_after_s = delay_estimator.compute_delay(now, due_at - now)
+        limit_s = compute_near_limit(now, due_at, hedge_after_s, is_repeat=False)
+        stats, table = self.fleet.stats, self.fleet.table
+        near = [
+            server
+            for position in positions
+            for server in table.list_usable(shards[position])
+            if server.entry.domain == self._domain
+        ]
+        in_time = sum(stats.is_near_in_time(s, now, median_s, limit_s) for s in near)
+        return len(near) - in_time > MAX_LOADED_SHARE * len(near)
+
     def count_connections(self):
         """Return the number of connections, open or being opened."""
         return sum(pool.size for pool in self._pools.values())
--- a/src/wisteriaworks/gateway/gather_run.py
+++ b/src/wisteriaworks/gateway/gather_run.py
@@ -94,6 +94,7 @@
                     group.positions,
                     earlier,
                     functools.partial(self._record, number, earlier),
+                    self._may_decline(placement, excluded),
                 ):
                     return
             except NotAcceptedError:
@@ -119,6 +120,14 @@
             )
         )
 
+    def _may_decline(self, placement, excluded):
+        """Return whether the first delegate of a group may decline it."""
+        if excluded or not placement.is_near:
+            return False
+        return self._gatherer.delegates.selector.may_decline(
+            placement.delegate, self._query.route, trio.current_time()
+        )
+
     def _fail(self, number, text):
         """Record that a delegate may have run a group and does not answer."""
         size = len(self._placements[number].group.positions)
--- a/src/wisteriaworks/gateway/gathering.py
+++ b/src/wisteriaworks/gateway/gathering.py
@@ -11,6 +11,7 @@
 import math
 from dataclasses import dataclass, field, replace
 
+from wisteriaworks.balancing.distance import NearShards, divide_near
 from wisteriaworks.gateway.query import (
     MAX_EXPLAINED_SERVICES,
     GatheredAnswer,
@@ -89,6 +90,21 @@
         self._table = table
         self._revision = None
         self._divisions = {}
+        self._near = {}
+
+    def find_near_division(self, shards, own_domain, other_domains):
+        """Return the division of a route that is served in the own domain, or None.
+
+        Shards without a server there go to the first of ``other_domains``.
+        """
+        near = self._near.get(own_domain)
+        if near is None:
+            near = self._near[own_domain] = NearShards(self._table, own_domain)
+        if not near.covers(shards):
+            return None
+        far = near.list_far(shards)
+        positions = divide_near(shards, far, own_domain, other_domains)
+        return tuple(Group(*item) for item in positions.items())
 
     def list_divisions(self, shards, domains):
         """Return equally good divisions over a set of domains, as tuples of groups.
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -68,8 +68,12 @@
                 functools.partial(self._handle_change, forwarder),
             )
             log = RequestLog(state, metrics, random.Random())
-            selector = DelegateSelector(cfg.name, cfg.link_mbps, random.Random())
-            delegates = DelegateClient(selector, forwarder.return_time, nursery)
+            selector = DelegateSelector(
+                cfg.name, cfg.link_mbps, random.Random(), cfg.domain
+            )
+            delegates = DelegateClient(
+                selector, forwarder.return_time, nursery, forwarder.traffic
+            )
             state.on_delegates = delegates.set_delegates
             gatherer = Gatherer(delegates, forwarder)
             self.app = self._make_app(state, forwarder, log, metrics, gatherer)
--- a/src/wisteriaworks/gateway/server_stats.py
+++ b/src/wisteriaworks/gateway/server_stats.py
@@ -11,6 +11,8 @@
 import math
 from dataclasses import dataclass, field
 
+from wisteriaworks.balancing.distance import MIN_NEAR_SUCCESS_RATE
+
 # Weight of one observation in the moving averages, which cover about the last ten.
 AVERAGE_WEIGHT = 0.2
 # Median time that is assumed for a route without observations.
@@ -133,27 +135,54 @@
         """Return whether the server is avoided after recent failures."""
         return now < self._get_or_create(server_id).avoided_until
 
-    def choose(self, servers, now, median_s=DEFAULT_MEDIAN_S):
+    def choose(self, servers, now, median_s=DEFAULT_MEDIAN_S, near_limit_s=0.0):
         """Return the server that most likely answers first, or None.
 
-        ``median_s`` is the median time of an answer on the route.
+        ``median_s`` is the median time of an answer on the route. Servers of the own
+        domain are preferred if their answers are expected within ``near_limit_s``.
         """
         if not servers:
             return None
         if len(servers) > 1:
             available = [s for s in servers if not self.is_avoided(s.id, now)]
             servers = available or servers
+        if near_limit_s > 0.0:
+            servers = [
+                server
+                for server in servers
+                if self.is_near_in_time(server, now, median_s, near_limit_s)
+            ] or servers
         return min(
             servers, key=lambda server: self._compute_cost(server, now, median_s)
         )
 
-    def _compute_cost(self, server, now, median_s):
+    def is_near_in_time(self, server, now, median_s, limit_s):
+        """Return whether a server of the own domain is expected to answer in time."""
+        if server.entry.domain != self._domain or server.is_cold(now):
+            return False
         stats = self._get_or_create(server.id)
+        work_s, success_rate = self._estimate(stats, now, median_s)
+        return (
+            now >= stats.avoided_until
+            and success_rate >= MIN_NEAR_SUCCESS_RATE
+            and not self._is_stalled(stats, now, work_s)
+            and self._estimate_answer(server, stats, work_s, now) <= limit_s
+        )
+
+    def _estimate(self, stats, now, median_s):
+        """Return the decayed time of an answer and success rate of a server."""
         decay = math.exp((stats.observed_at - now) / DECAY_S)
         work_s = median_s * (1 + (stats.slowness - 1) * decay)
-        success_rate = 1 + (stats.success_rate - 1) * decay
-        cost = (1 + len(stats.waiting) / max(1, server.entry.slots)) * work_s
-        cost += self.estimate_wait(server.id, work_s, now)
+        return work_s, 1 + (stats.success_rate - 1) * decay
+
+    def _estimate_answer(self, server, stats, work_s, now):
+        queue = 1 + len(stats.waiting) / max(1, server.entry.slots)
+        return queue * work_s + self.estimate_wait(server.id, work_s, now)
+
+    def _compute_cost(self, server, now, median_s):
+        stats = self._get_or_create(server.id)
+        work_s, success_rate = self._estimate(stats, now, median_s)
+        cost = self._estimate_answer(server, stats, work_s, now)
         cost /= max(MIN_SUCCESS_RATE, success_rate) ** 2
         if server.entry.domain != self._domain:
             cost *= OTHER_DOMAIN_PENALTY
--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from wisteriaworks.balancing.traffic import ignore_bytes
 from wisteriaworks.events import log_failure
 from wisteriaworks.gateway.answer_memory import AnswerMemory
 from wisteriaworks.gateway.model import Answered, Failed, Failure, Refused
@@ -111,7 +112,9 @@
         self.exchange = exchange
         exchange.conn = self
         self._reader.expect(exchange.method, exchange.max_body_bytes)
-        self._unsent = memoryview(exchange.encode())
+        data = exchange.encode()
+        self._pool.count_bytes(len(data), 0)
+        self._unsent = memoryview(data)
         self._send()
 
     def close(self):
@@ -142,6 +145,7 @@
             data = self._sock.recv(READ_BYTES)
         except BlockingIOError:
             return True
+        self._pool.count_bytes(0, len(data))
         try:
             answer = self._reader.feed(data) if data else self._reader.feed_end()
         except MalformedAnswerError:
@@ -216,8 +220,17 @@
 class ServerPool:
     """Manage at most ``limit`` connections to one server."""
 
-    def __init__(self, address, response_format, nursery, memory=None):
+    def __init__(
+        self,
+        address,
+        response_format,
+        nursery,
+        memory=None,
+        count_bytes=ignore_bytes,
+    ):
         self._address = address
+        # Called with the numbers of bytes sent and received.
+        self.count_bytes = count_bytes
         self.memory = memory or AnswerMemory()
         self.response_format = response_format
         self.nursery = nursery
--- a/src/wisteriaworks/rpc.py
+++ b/src/wisteriaworks/rpc.py
@@ -14,6 +14,7 @@
 
 from wisteriaworks import codec
 from wisteriaworks.background import BackgroundTasks
+from wisteriaworks.balancing.traffic import ignore_bytes
 from wisteriaworks.errors import RpcError
 from wisteriaworks.events import log_failure
 from wisteriaworks.framing import (
@@ -41,8 +42,9 @@
 class _Writer:
     """Queue frames and send all queued frames in one system call."""
 
-    def __init__(self, stream):
+    def __init__(self, stream, count_bytes=ignore_bytes):
         self._stream = stream
+        self._count_bytes = count_bytes
         self._queue = []
         self._wake = trio.Event()
         self.last_put_at = trio.current_time()
@@ -58,15 +60,17 @@
             self._wake = trio.Event()
             data = b"".join(self._queue)
             self._queue.clear()
+            self._count_bytes(len(data), 0)
             await self._stream.send_all(data)
 
 
 class _Connection:
     """Run one connection of a channel."""
 
-    def __init__(self, stream):
+    def __init__(self, stream, count_bytes):
         self._stream = stream
-        self._writer = _Writer(stream)
+        self._count_bytes = count_bytes
+        self._writer = _Writer(stream, count_bytes)
         self._pending_calls = {}
         self._numbers = itertools.count(1)
         self.last_received_at = trio.current_time()
@@ -108,6 +112,7 @@
         reader = FrameReader()
         while data := await self._stream.receive_some(READ_BYTES):
             self.last_received_at = trio.current_time()
+            self._count_bytes(0, len(data))
             for frame in reader.feed(data):
                 self._handle(frame)
 
@@ -182,10 +187,14 @@
 
     A connection attempt that began while the peer had no power hangs for about
     a second after the peer is back; ``connect_timeout_s`` limits that time.
+    ``count_bytes`` is called with the numbers of bytes sent and received.
     """
 
-    def __init__(self, address, connect_timeout_s=CONNECT_TIMEOUT_S):
+    def __init__(
+        self, address, connect_timeout_s=CONNECT_TIMEOUT_S, count_bytes=ignore_bytes
+    ):
         super().__init__()
+        self._count_bytes = count_bytes
         self.address = address
         self._connect_timeout_s = connect_timeout_s
         self._connection = None
@@ -229,7 +238,7 @@
         async with self._connect_lock:
             if self._connection is None or not self._connection.is_usable:
                 stream = await self._open(deadline)
-                self._connection = _Connection(stream)
+                self._connection = _Connection(stream, self._count_bytes)
                 self._nursery.start_soon(self._connection.run)
             return self._connection
 
