Weigh requests in flight, and keep pauses from driving requests away

Cause: what a gateway knows from answers is up to 2 s old. Its own requests in flight are the only fresh data, and counted as their own work only. The limit up to which a near server is used was compared with the mean of the answer times, which one pause of 250 ms raises fivefold for seconds.

Change: among three servers or more, a request in flight counts twice and the time by which the oldest one is late counts three times. The near limit is compared with the mean of the logarithms of the answer times. The simulation of loads has speeds, queues that refuse, pauses, domains and stale data.

--- a/src/wisteriaworks/gateway/server_stats.py
+++ b/src/wisteriaworks/gateway/server_stats.py
@@ -12,9 +12,16 @@
 from dataclasses import dataclass, field
 
 from wisteriaworks.balancing.distance import MIN_NEAR_SUCCESS_RATE
+from wisteriaworks.balancing.in_flight import (
+    MIN_SERVERS,
+    estimate_loaded_s,
+    estimate_queue_s,
+)
 
 # Weight of one observation in the moving averages, which cover about the last ten.
 AVERAGE_WEIGHT = 0.2
+# Lower bound of an answer time relative to the median, for its logarithm.
+MIN_FACTOR = 0.1
 # Median time that is assumed for a route without observations.
 DEFAULT_MEDIAN_S = 0.02
 # Time until a new connection can carry a request: up to 6 ms at the server and a
@@ -52,6 +59,8 @@
 class _Stats:
     # Average answer time of the server, relative to the median time on the route.
     slowness: float = 1.0
+    # Average of the logarithms of the same ratio, on which one pause has little effect.
+    log_slowness: float = 0.0
     success_rate: float = 1.0
     observed_at: float = -math.inf
     consecutive_failures: int = 0
@@ -82,6 +91,8 @@
         began = stats.waiting.pop(send_id, now)
         factor = (now - began) / median_s
         stats.slowness += AVERAGE_WEIGHT * (factor - stats.slowness)
+        log_factor = math.log(max(factor, MIN_FACTOR))
+        stats.log_slowness += AVERAGE_WEIGHT * (log_factor - stats.log_slowness)
         stats.success_rate += AVERAGE_WEIGHT * (1.0 - stats.success_rate)
         stats.consecutive_failures = 0
 
@@ -143,6 +154,7 @@
         """
         if not servers:
             return None
+        is_load_weighed = len(servers) >= MIN_SERVERS
         if len(servers) > 1:
             available = [s for s in servers if not self.is_avoided(s.id, now)]
             servers = available or servers
@@ -153,7 +165,10 @@
                 if self.is_near_in_time(server, now, median_s, near_limit_s)
             ] or servers
         return min(
-            servers, key=lambda server: self._compute_cost(server, now, median_s)
+            servers,
+            key=lambda server: self._compute_cost(
+                server, now, median_s, is_load_weighed
+            ),
         )
 
     def is_near_in_time(self, server, now, median_s, limit_s):
@@ -161,7 +176,11 @@
         if server.entry.domain != self._domain or server.is_cold(now):
             return False
         stats = self._get_or_create(server.id)
-        work_s, success_rate = self._estimate(stats, now, median_s)
+        _, success_rate = self._estimate(stats, now, median_s)
+        # A pause of 250 ms of a server that answers within 12 ms would raise its mean
+        # to five times that for seconds.
+        decay = math.exp((stats.observed_at - now) / DECAY_S)
+        work_s = median_s * math.exp(stats.log_slowness * decay)
         return (
             now >= stats.avoided_until
             and success_rate >= MIN_NEAR_SUCCESS_RATE
@@ -176,13 +195,20 @@
         return work_s, 1 + (stats.success_rate - 1) * decay
 
     def _estimate_answer(self, server, stats, work_s, now):
-        queue = 1 + len(stats.waiting) / max(1, server.entry.slots)
-        return queue * work_s + self.estimate_wait(server.id, work_s, now)
+        queue_s = estimate_queue_s(work_s, len(stats.waiting), server.entry.slots)
+        return queue_s + self.estimate_wait(server.id, work_s, now)
+
+    def _estimate_loaded(self, server, stats, work_s, now):
+        waiting = stats.waiting
+        oldest_s = now - next(iter(waiting.values())) if waiting else 0.0
+        loaded_s = estimate_loaded_s(work_s, len(waiting), server.entry.slots, oldest_s)
+        return loaded_s + self.estimate_wait(server.id, work_s, now)
 
-    def _compute_cost(self, server, now, median_s):
+    def _compute_cost(self, server, now, median_s, is_load_weighed):
         stats = self._get_or_create(server.id)
         work_s, success_rate = self._estimate(stats, now, median_s)
-        cost = self._estimate_answer(server, stats, work_s, now)
+        estimate = self._estimate_loaded if is_load_weighed else self._estimate_answer
+        cost = estimate(server, stats, work_s, now)
         cost /= max(MIN_SUCCESS_RATE, success_rate) ** 2
         if server.entry.domain != self._domain:
             cost *= OTHER_DOMAIN_PENALTY
@@ -203,6 +229,7 @@
         stats = self._get_or_create(server_id)
         decay = math.exp((stats.observed_at - now) / DECAY_S)
         stats.slowness = 1 + (stats.slowness - 1) * decay
+        stats.log_slowness *= decay
         stats.success_rate = 1 + (stats.success_rate - 1) * decay
         stats.observed_at = now
         return stats
--- a/tests/balancing/test_distance.py
+++ b/tests/balancing/test_distance.py
@@ -5,6 +5,7 @@
 
 import pytest
 from gateway_fakes import make_entry, make_route
+from load_simulation import Load, LoadSimulation
 
 from wisteriaworks.balancing.distance import (
     BACKLOG_SHARE,
@@ -207,3 +208,56 @@
     assert near.covers(SHARDS)
     assert near.list_far(SHARDS) == frozenset(n for n in range(10))
     assert not NearShards(make_table(lost=range(40)), "d0").covers(SHARDS)
+
+
+def test_pause_of_a_near_server_does_not_drive_requests_away_for_seconds():
+    """One answer after 250 ms raised the mean of a server of 12 ms fivefold, and a
+    third of all parts came from other domains."""
+    stats = make_stats(near_s=0.012, other_s=0.012)
+    stats.record_send("id0", 100, 59.7)
+    stats.record_success("id0", 100, 59.95)
+    assert choose(stats, 0.025, median_s=0.012) == {"d0": 100}
+
+
+@pytest.mark.parametrize(
+    ("work_s", "objective_ms", "weights", "max_share"),
+    [
+        # Now 0.11; without the preference 0.41.
+        pytest.param(0.012, 97, (), 0.2, id="short objective"),
+        # Now 0.05; without the preference 0.39.
+        pytest.param(0.03, 350, (), 0.1, id="usual objective"),
+        # Now 0.13; without the preference 0.59.
+        pytest.param(0.03, 350, (1, 0, 0), 0.2, id="callers in one domain"),
+    ],
+)
+def test_few_parts_cross_domains_and_answers_stay_in_time(
+    work_s, objective_ms, weights, max_share
+):
+    runs = [
+        LoadSimulation(
+            Load(
+                gateways=6,
+                shards=30,
+                replicas=3,
+                queries_per_s=26.0,
+                seconds=6.0,
+                work_s=work_s,
+                objective_ms=objective_ms,
+                minimum_coverage=0.95,
+                slack=200.0,
+                speeds=(0.8, 1.0, 1.3),
+                stall_s=0.25,
+                stall_period_s=6.0,
+                max_held=14,
+                domains=3,
+                domain_weights=weights,
+                prefers_near=prefers_near,
+                connect_s=0.008,
+            )
+        ).run()
+        for prefers_near in (False, True)
+    ]
+    before, now = runs
+    assert now.far_sends < max_share * now.sends
+    assert before.far_sends > 0.3 * before.sends
+    assert now.mean_score > before.mean_score - 0.005
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -36,9 +36,10 @@
     return GatewaySettings(budget=budget, **(defaults | fields))
 
 
-def make_fleet(entries, budget=AMPLE_BUDGET, seed=1):
+def make_fleet(entries, budget=AMPLE_BUDGET, seed=1, domain="a"):
     """Return a fleet whose servers have been listed since time 0."""
-    fleet = ServerFleet.create(make_settings(budget), random.Random(seed), -60.0)
+    cfg = make_settings(budget, domain=domain)
+    fleet = ServerFleet.create(cfg, random.Random(seed), -60.0)
     fleet.table.assign(make_known_servers(entries, 0.0))
     return fleet
 
--- a/tests/gateway/load_simulation.py
+++ b/tests/gateway/load_simulation.py
@@ -22,6 +22,7 @@
     AnswerTimes,
     Failed,
     Failure,
+    Refused,
     ServerAnswer,
 )
 from wisteriaworks.gateway.query import GatheredAnswer, Query
@@ -29,8 +30,6 @@
 
 ONE_WAY_S = 0.001
 RETURN_S = 0.015
-STALL_S = 0.15
-STALL_PERIOD_S = 3.6
 ANSWER = ServerAnswer(200, (), b"", b"sig", b"id", False, False, None)
 
 
@@ -57,6 +56,23 @@
     connect_s: float = 0.0
     # Shares of each gateway in the budgets; equal ones by default.
     shares: FleetShares | None = None
+    # Speeds of the servers of a shard, in turn, and their pauses.
+    speeds: tuple = (1.0,)
+    stall_s: float = 0.15
+    stall_period_s: float = 3.6
+    # Requests that a server holds in its slots and its queue; more are refused.
+    max_held: float = math.inf
+    # Answers reach the statistics up to this much later.
+    data_age_s: float = 0.0
+    # The servers of a shard, and the gateways, are in successive domains.
+    domains: int = 1
+    prefers_near: bool = False
+    # Shares of the queries by domain; equal ones by default.
+    domain_weights: tuple = ()
+
+    def find_domain(self, number):
+        """Return the domain of a gateway or of a server of each shard."""
+        return "abc"[number % self.domains]
 
     @property
     def budget(self):
@@ -73,11 +89,21 @@
     def __init__(self, name, rng, load):
         self._rng, self._load = rng, load
         self._factor = load.slow.get(name, 1.0)
+        copy = int(name.split(".")[1])
+        self._speed = load.speeds[copy % len(load.speeds)]
+        self.domain = load.find_domain(copy)
+        self._ends = []
+        self.arrivals = []
         self._free_at = [0.0, 0.0]
-        self._stall_offset = rng.random() * STALL_PERIOD_S
+        self._stall_offset = rng.random() * load.stall_period_s
 
     def finish(self, now):
-        """Return when a request that arrives now is answered."""
+        """Return when a request that arrives now is answered, or None if refused."""
+        self.arrivals.append(now)
+        while self._ends and self._ends[0] <= now:
+            heapq.heappop(self._ends)
+        if len(self._ends) >= self._load.max_held:
+            return None
         slot = min(range(len(self._free_at)), key=self._free_at.__getitem__)
         start = self._skip_stall(max(now, self._free_at[slot]))
         work_s = self._load.work_s * self._rng.lognormvariate(-0.06, 0.35)
@@ -85,15 +111,17 @@
             work_s *= 5
         if now >= self._load.slow_from:
             work_s *= self._factor
+        work_s /= self._speed
         end = start + work_s
         if self._skip_stall(end) != end:
-            end += STALL_S
+            end += self._load.stall_s
         self._free_at[slot] = end
+        heapq.heappush(self._ends, end)
         return end
 
     def _skip_stall(self, at):
-        inside = (at + self._stall_offset) % STALL_PERIOD_S
-        return at + STALL_S - inside if inside < STALL_S else at
+        inside = (at + self._stall_offset) % self._load.stall_period_s
+        return at + self._load.stall_s - inside if inside < self._load.stall_s else at
 
 
 class LoadSimulation:
@@ -111,9 +139,21 @@
             minimum_coverage=load.minimum_coverage,
             timeout_ms=2000,
         )
-        entries = [make_entry(n, service="s" + n[1:].split(".")[0]) for n in names]
+        entries = [
+            make_entry(
+                n,
+                service="s" + n[1:].split(".")[0],
+                domain=self._servers[n].domain,
+            )
+            for n in names
+        ]
         self._gateways = [
-            _Gateway(entries, load, seed * 1000 + n) for n in range(load.gateways)
+            _Gateway(entries, load, seed * 1000 + n, load.find_domain(n))
+            for n in range(load.gateways)
+        ]
+        self._weights = [
+            load.domain_weights[n % load.domains] if load.domain_weights else 1.0
+            for n in range(load.gateways)
         ]
         self._events = []
         self._numbers = itertools.count()
@@ -121,13 +161,16 @@
         self.queries = self.late = self.partial = 0
         self.denials = Counter()
         self.repeats = []
+        self.answer_times = []
+        self.refusals = self.sends = self.far_sends = 0
 
     def run(self):
         """Simulate the complete load and return this object."""
         load, at = self._load, 0.0
         while at < load.seconds:
             at += self._rng.expovariate(load.queries_per_s)
-            self._push(at, self._begin, self._rng.choice(self._gateways))
+            (gateway,) = self._rng.choices(self._gateways, self._weights)
+            self._push(at, self._begin, gateway)
         while self._events:
             now, _, step, args = heapq.heappop(self._events)
             step(now, *args)
@@ -138,6 +181,28 @@
         """Return the mean score of a query: coverage squared, times 0.1 if late."""
         return self.score / self.queries
 
+    def compute_busiest_share(self, window_s=0.1, min_arrivals=6):
+        """Return the arrivals at the busiest server of a shard over their mean.
+
+        This is the mean over all shards and windows with enough arrivals.
+        """
+        windows = {}
+        for name, server in self._servers.items():
+            shard = name.split(".")[0]
+            for at in server.arrivals:
+                counts = windows.setdefault((shard, int(at / window_s)), Counter())
+                counts[name] += 1
+        ratios = [
+            max(counts.values()) * self._load.replicas / counts.total()
+            for counts in windows.values()
+            if counts.total() >= min_arrivals
+        ]
+        return sum(ratios) / len(ratios)
+
+    def compute_answer_quantile(self, share):
+        """Return a quantile of the times from a request to its answer."""
+        return sorted(self.answer_times)[int(share * len(self.answer_times))]
+
     def count_repeats_in_busiest_window(self, service):
         """Return the maximum number of repeated sends to a service in any window."""
         times = sorted(at for at, name in self.repeats if name == service)
@@ -163,9 +228,25 @@
         stats = run.gateway.fleet.stats
         stats.record_send(send.server.id, number, now)
         arrives_at = now + ONE_WAY_S + send.is_repeat * self._load.connect_s
-        answered_at = self._servers[send.server.id].finish(arrives_at)
+        server = self._servers[send.server.id]
+        self.sends += 1
+        self.far_sends += server.domain != run.gateway.domain
+        answered_at = server.finish(arrives_at)
         args = run, fetch, send.server.id, number, now
-        self._push(answered_at + ONE_WAY_S, self._answer, *args)
+        if answered_at is None:
+            self._push(arrives_at + ONE_WAY_S, self._refuse, *args)
+        else:
+            self._push(answered_at + ONE_WAY_S, self._answer, *args)
+
+    def _refuse(self, now, run, fetch, server_id, number, began_at):
+        self.refusals += 1
+        run.gateway.fleet.stats.record_refusal(server_id, number, now)
+        self._handle_outcome(now, run, fetch, server_id, Refused(ANSWER))
+
+    def _learn(self, now, stats, server_id, number, answer_s, median_s):
+        """Record an answer of which the statistics know late."""
+        stats.record_send(server_id, number, now - answer_s)
+        stats.record_success(server_id, number, now, median_s)
 
     def _answer(self, now, run, fetch, server_id, number, began_at):
         stats = run.gateway.fleet.stats
@@ -173,10 +254,20 @@
         if self._rng.random() < self._load.lost_share:
             outcome = Failed(Failure.BROKEN, may_have_run=True)
             stats.record_failure(server_id, number, now)
+        elif self._load.data_age_s:
+            stats.discard(server_id, number)
+            late_s = self._rng.uniform(0, self._load.data_age_s)
+            median_s = fetch.policy.median_s
+            args = stats, server_id, number, now - began_at, median_s
+            self._push(now + late_s, self._learn, *args)
+            run.gateway.delay_estimator.observe(now - began_at, now)
         else:
             median_s = fetch.policy.median_s
             stats.record_success(server_id, number, now, median_s)
             run.gateway.delay_estimator.observe(now - began_at, now)
+        self._handle_outcome(now, run, fetch, server_id, outcome)
+
+    def _handle_outcome(self, now, run, fetch, server_id, outcome):
         if run.is_over:
             return
         send = fetch.handle_outcome(server_id, outcome, now)
@@ -202,6 +293,7 @@
                 self._push(max(now, wake_at), self._wake, run)
             return
         run.is_over = True
+        self.answer_times.append(now - run.began_at)
         in_time = now - run.began_at <= self._load.objective_ms / 1000
         if isinstance(result, GatheredAnswer):
             covered = len(result.parts) / self._load.shards
@@ -212,8 +304,10 @@
 
 
 class _Gateway:
-    def __init__(self, entries, load, seed):
-        self.fleet = make_fleet(entries, load.budget, seed)
+    def __init__(self, entries, load, seed, domain):
+        self.domain = domain
+        self.prefers_near = load.prefers_near
+        self.fleet = make_fleet(entries, load.budget, seed, domain)
         shares = load.shares or FleetShares(load.gateways)
         self.fleet.budget.set_delegated_services({e.service for e in entries})
         self.fleet.set_shares(shares, 0, -60.0)
@@ -232,7 +326,16 @@
         median_s = gateway.delay_estimator.read_median(now)
         fetches = {
             name: Fetch(
-                FetchPolicy(name, True, route.attempts, 0.0, hedge_after_s, median_s),
+                FetchPolicy(
+                    name,
+                    True,
+                    route.attempts,
+                    0.0,
+                    hedge_after_s,
+                    median_s,
+                    prefers_near=gateway.prefers_near,
+                    due_at=times.partial_at,
+                ),
                 gateway.fleet,
             )
             for name in route.shards
