Keep queries in their domain where no server answers within the limit

Cause: on a route whose usual answer takes longer than the limit of near servers, each delegate would decline each group, which costs a hop and moves the query for nothing.

Change: a near server that takes up to 1.25 medians of the route is preferred on any objective.

--- a/src/wisteriaworks/balancing/distance.py
+++ b/src/wisteriaworks/balancing/distance.py
@@ -14,8 +14,13 @@
 # may take. Hedges are sent after two fifths of the objective; with answer times that
 # vary by a third, one answer in ten of a server at this limit is that late.
 FIRST_SEND_SHARE = 0.3
+HEDGE_DELAY_SHARE = 0.75
 # The same for a hedge or retry, after which no other send follows in time.
 REPEAT_SHARE = 0.6
+# A near server that takes no more than this many medians of the route is preferred on
+# any objective: where no server answers within the limit, leaving the domain is of no
+# use, and all delegates would decline their groups.
+MIN_LIMIT_MEDIANS = 1.25
 # A near server is left if its success rate is lower: three failures or refusals
 # among about ten answers cost more repeats than the budget allows in the long run.
 MIN_NEAR_SUCCESS_RATE = 0.7
@@ -41,16 +46,19 @@
 MAX_KEPT = 64
 
 
-def compute_near_limit(now, due_at, hedge_after_s, is_repeat):
+def compute_near_limit(now, due_at, hedge_after_s, median_s, is_repeat):
     """Return the expected answer time up to which a near server is preferred.
 
-    ``due_at`` is when the answer has to be given. The limit of a first send is also
-    below the hedge delay, so that on routes without an objective it is finite.
+    ``due_at`` is when the answer has to be given, and ``median_s`` the median time of
+    an answer on the route. The limit of a first send is below the hedge delay too, so
+    that on routes without an objective it is finite.
     """
     left_s = max(0.0, due_at - now)
     if is_repeat:
-        return REPEAT_SHARE * left_s
-    return min(FIRST_SEND_SHARE * left_s, FIRST_SEND_SHARE / 0.4 * hedge_after_s)
+        limit_s = REPEAT_SHARE * left_s
+    else:
+        limit_s = min(FIRST_SEND_SHARE * left_s, HEDGE_DELAY_SHARE * hedge_after_s)
+    return max(limit_s, MIN_LIMIT_MEDIANS * median_s)
 
 
 def compute_backlog_limit(objective_s):
--- a/src/wisteriaworks/gateway/fetch.py
+++ b/src/wisteriaworks/gateway/fetch.py
@@ -269,7 +269,9 @@
         policy, is_repeat = self.policy, bool(self._reached)
         if not policy.prefers_near:
             return 0.0
-        return compute_near_limit(now, policy.due_at, policy.hedge_after_s, is_repeat)
+        return compute_near_limit(
+            now, policy.due_at, policy.hedge_after_s, policy.median_s, is_repeat
+        )
 
     def _list_retryable(self, now):
         """Return the servers that may get the request once more."""
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -270,7 +270,9 @@
         median_s = delay_estimator.read_median(now)
         due_at = query.times.partial_at
         hedge_after_s = delay_estimator.compute_delay(now, due_at - now)
-        limit_s = compute_near_limit(now, due_at, hedge_after_s, is_repeat=False)
+        limit_s = compute_near_limit(
+            now, due_at, hedge_after_s, median_s, is_repeat=False
+        )
         stats, table = self.fleet.stats, self.fleet.table
         near = [
             server
--- a/tests/balancing/test_distance.py
+++ b/tests/balancing/test_distance.py
@@ -195,11 +195,16 @@
 def test_limit_leaves_time_for_a_hedge():
     """A near server whose usual answer comes after the hedge costs two sends."""
     hedge_after_s = 0.4 * 0.35
-    first = compute_near_limit(0.0, 0.33, hedge_after_s, is_repeat=False)
+    first = compute_near_limit(0.0, 0.33, hedge_after_s, 0.02, is_repeat=False)
     assert first < hedge_after_s
-    assert compute_near_limit(0.0, float("inf"), 0.1, is_repeat=False) < 0.1
+    assert compute_near_limit(0.0, float("inf"), 0.1, 0.02, is_repeat=False) < 0.1
     # Of 60 ms left after a hedge, an answer of 50 ms would come too late.
-    assert compute_near_limit(0.27, 0.33, 0.1, is_repeat=True) < 0.05
+    assert compute_near_limit(0.27, 0.33, 0.1, 0.02, is_repeat=True) < 0.05
+
+
+def test_servers_that_are_all_too_slow_for_the_objective_are_not_left():
+    """All delegates would decline their groups, and nothing would be faster."""
+    assert compute_near_limit(0.0, 0.08, 0.06, 0.04, is_repeat=False) > 0.04
 
 
 def test_route_is_served_in_the_domain_that_has_most_of_its_shards():
