--- a/tests/gateway/load_simulation.py
+++ b/tests/gateway/load_simulation.py
@@ -72,7 +72,7 @@
 
     def find_domain(self, number):
         """Return the domain of a gateway or of a server of each shard."""
-        return "abc"[number % self.domains]
+        return "abcd"[number % self.domains]
 
     @property
     def budget(self):
