--- a/tests/ingress/test_untrusted_clients.py
+++ b/tests/ingress/test_untrusted_clients.py
@@ -198,7 +198,7 @@
 
 @pytest.mark.parametrize("target", ["gateway", "entry"], indirect=True)
 async def test_connections_of_refused_bodies_are_closed(target):
-    """A body that was refused before its end kept its connection for ever."""
+    """A body that is refused before its end must not keep its connection."""
     before = crowd.count_descriptors(target.pid)
     pieces = crowd.make_chunks(target.head, 3 * BODY_BYTES)
     async with crowd.open_crowd(target.address, CLIENTS, pieces):
