--- a/src/wisteriaworks/quotas/gate.py
+++ b/src/wisteriaworks/quotas/gate.py
@@ -101,7 +101,9 @@
             await trio.sleep(BATCH_S)
             await self._ask()
             if self._tokens.has_waiters:
-                await trio.sleep(REPEAT_S)
+                # A request that arrives meanwhile may have less time than that.
+                with trio.move_on_after(REPEAT_S):
+                    await self._wake.wait()
                 self._wake.set()
 
     async def _ask(self):
--- a/src/wisteriaworks/quotas/tokens.py
+++ b/src/wisteriaworks/quotas/tokens.py
@@ -106,8 +106,10 @@
         for former in self.batches:
             if (former.term, former.charged_at_ms) == (term, charged_at_ms):
                 former.is_offered = False
-                batch.count = min(count, former.count)
-                former.count -= batch.count
+                # Two batches of one reply have the same charge.
+                moved = min(count - batch.count, former.count)
+                batch.count += moved
+                former.count -= moved
         self.add(batch)
 
     def add(self, batch):
--- a/src/wisteriaworks/rollouts/coordinator.py
+++ b/src/wisteriaworks/rollouts/coordinator.py
@@ -192,6 +192,7 @@
             final_bad_reason=progress.tally.find_reason(is_final=True),
             is_doubtful=progress.tally.is_doubtful,
             unconfirmed=progress.count_unconfirmed(self._list_senders(now)),
+            have_all_reported=self._have_all_reported(progress),
             count_servers=functools.partial(self._count_servers, record),
         )
 
@@ -200,8 +201,14 @@
         recorded = self._node.machine.gateways
         return 0 < recorded <= len(self._operator_commands.list_watchers())
 
+    def _have_all_reported(self, progress):
+        """Return whether as many gateways have reported as the log has recorded."""
+        return len(progress.confirmations) >= self._node.machine.gateways
+
     def _count_servers(self, record):
-        """Return the UsableServers of the service."""
+        """Return the UsableServers of the service, or None before a list was read."""
+        if not self._directory.revision:
+            return None
         machine, now = self._node.machine, trio.current_time()
         usable = [
             entry
--- a/src/wisteriaworks/rollouts/reporter.py
+++ b/src/wisteriaworks/rollouts/reporter.py
@@ -1,5 +1,7 @@
 """Report the answers by version from a gateway to the leader."""
 
+import contextlib
+
 import trio
 
 from wisteriaworks.errors import RpcError
@@ -35,14 +37,20 @@
         if channel is not known_channel:
             known_channel = channel
             versions.report_again()
-        for report in versions.pop_reports(trio.current_time()):
-            if not await _is_delivered(channel, report):
-                known_channel = None
+        if not await _are_delivered(channel, versions.pop_reports(trio.current_time())):
+            known_channel = None
+
+
+async def _are_delivered(channel, reports):
+    """Send reports at once, so that the timeouts of a silent leader don't add up."""
+    replies = []
 
+    async def deliver(report):
+        with contextlib.suppress(RpcError):
+            replies.append(await channel.call(report, TIMEOUT_S))
 
-async def _is_delivered(channel, report):
-    try:
-        reply = await channel.call(report, TIMEOUT_S)
-    except RpcError:
-        return False
-    return isinstance(reply, VersionsReported)
+    async with trio.open_nursery() as nursery:
+        for report in reports:
+            nursery.start_soon(deliver, report)
+    delivered = [reply for reply in replies if isinstance(reply, VersionsReported)]
+    return len(delivered) == len(reports)
--- a/src/wisteriaworks/rollouts/schedule.py
+++ b/src/wisteriaworks/rollouts/schedule.py
@@ -52,8 +52,9 @@
     ``elapsed_s`` counts from the command, ``promoted_for_s`` from the promotion.
     ``unconfirmed`` is the number of gateways that have not reported that nothing runs
     at the old servers. ``lead_s`` and ``watch_s`` are the results of ``compute_lead``
-    and ``compute_watch``. ``count_servers`` returns the UsableServers; it is called
-    only near the deadline.
+    and ``compute_watch``. ``count_servers`` returns the UsableServers, or None if the
+    leader has not read the list of servers; it is called only near the deadline.
+    ``have_all_reported`` is whether this leader has the totals of all gateways.
     """
 
     phase: RolloutPhase
@@ -68,7 +69,8 @@
     final_bad_reason: str
     is_doubtful: bool
     unconfirmed: int
-    count_servers: Callable[[], UsableServers]
+    have_all_reported: bool
+    count_servers: Callable[[], UsableServers | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +116,14 @@
     left_s = situation.duration_s - situation.elapsed_s
     if left_s > situation.lead_s:
         return None
+    # Without the totals of the gateways, neither the rate of requests nor the verdict
+    # is known. A new leader would promote a bad version too early.
+    are_known = situation.have_all_reported or situation.leading_s >= MIN_LEADING_S
+    if not are_known and left_s > COMMIT_S:
+        return None
     servers = situation.count_servers()
+    if servers is None:
+        return None
     if servers.new == 0:
         if left_s > -NO_SERVER_GRACE_S:
             return None
@@ -136,4 +145,8 @@
         return None
     if situation.final_bad_reason:
         return Decision(RolloutPhase.ROLLED_BACK, situation.final_bad_reason)
+    servers = situation.count_servers()
+    if servers is not None and servers.new == 0:
+        # The old servers are the only ones that work, and would be stopped.
+        return Decision(RolloutPhase.ROLLED_BACK, "no usable server")
     return Decision(RolloutPhase.SUCCEEDED, f"{situation.unconfirmed} unconfirmed")
--- a/tests/rollouts/rollout_fakes.py
+++ b/tests/rollouts/rollout_fakes.py
@@ -101,6 +101,9 @@
 class System:
     """Run a leader, gateways and servers, and record what happens."""
 
+    # The list of servers has been read.
+    revision = 1
+
     def __init__(self, seed, behave, gateways=78, rate=20.0, entries=None):
         self.rng = random.Random(seed)
         self.entries = entries or make_entries()
--- a/tests/rollouts/test_schedule.py
+++ b/tests/rollouts/test_schedule.py
@@ -38,6 +38,7 @@
         "final_bad_reason": "",
         "is_doubtful": False,
         "unconfirmed": 0,
+        "have_all_reported": True,
         "count_servers": lambda: UsableServers(new, min(new, warm), old=3),
     }
     decision = decide(Situation(**(defaults | fields)))
@@ -55,6 +56,15 @@
         ({"elapsed_s": 11.8, "new": 1}, PROMOTING),
         ({"elapsed_s": 11.8, "warm": 0}, PROMOTING),
         ({"elapsed_s": 11.8, "new": 0}, None),
+        # A new leader has no totals, so it would promote a bad version too early.
+        ({"elapsed_s": 10.3, "leading_s": 0.2, "have_all_reported": False}, None),
+        ({"elapsed_s": 10.3, "leading_s": 0.2}, PROMOTING),
+        ({"elapsed_s": 11.8, "leading_s": 0.2, "have_all_reported": False}, PROMOTING),
+        # A new leader without a list rolled a good version back.
+        ({"elapsed_s": 13.1, "count_servers": lambda: None}, None),
+        # The old servers, which are the only ones that work, were stopped.
+        (DUE | {"new": 0}, ROLLED_BACK),
+        (DUE | {"count_servers": lambda: None}, SUCCEEDED),
         ({"elapsed_s": 13.1, "new": 0}, ROLLED_BACK),
         (DUE | {"elapsed_s": 11.0, "promoted_for_s": 1.0}, None),
         (DUE, SUCCEEDED),
--- a/tests/test_quota_decisions.py
+++ b/tests/test_quota_decisions.py
@@ -150,6 +150,20 @@
     assert tokens.take("a", 2.5) is None
 
 
+def test_extension_of_two_batches_with_one_charge_loses_none():
+    """The second batch was charged for nothing."""
+    tokens = GatewayTokens("g", 0.0)
+    ask(tokens, granted=3)
+    request = tokens.make_request(1.0)
+    # One reply extends two permissions and grants one, all charged at the same time.
+    tokens.apply_reply(request, make_reply(granted=1, renewed=(2,)), 1.0, 1.1)
+    held = tokens.count_permissions(1.1)
+    request = tokens.make_request(2.0)
+    renewed = tuple(count for *_, count in request.renewals)
+    tokens.apply_reply(request, make_reply(renewed=renewed), 2.0, 2.1)
+    assert tokens.count_permissions(2.1) == held
+
+
 def test_waiter_that_gives_up_takes_no_permission():
     tokens = GatewayTokens("g", 0.0)
     tokens.take("a", 0.0)
--- a/tests/test_quota_service.py
+++ b/tests/test_quota_service.py
@@ -172,6 +172,28 @@
     assert isinstance(decision, expected)
 
 
+async def test_account_over_its_limit_does_not_delay_others(autojump_clock):
+    """Others waited for the next question for longer than their patience."""
+
+    def answer(message):
+        granted = tuple(int(account == "free-rate") for account in message.accounts)
+        retry_ms = tuple(10 * (1 - count) for count in granted)
+        return QuotaReply(granted, (2000,) * len(granted), retry_ms, 1, 0)
+
+    accounts = ACCOUNTS | {"free-rate": Account(rate_per_s=1.0)}
+    channel = StandInChannel(answer)
+    quotas = GatewayQuotas(
+        "g", lambda: accounts, lambda: channel, create_unexported_metrics()
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(quotas.run)
+        nursery.start_soon(quotas.take, "a", read_boot_time(), 0.4)
+        await trio.sleep(0.006)
+        decision = await quotas.take("free-rate", read_boot_time(), 0.024)
+        nursery.cancel_scope.cancel()
+    assert isinstance(decision, Granted)
+
+
 @pytest.mark.parametrize(
     "objective_s, patience_s", [(0.096, 0.024), (8.0, 0.4), (0.0, 0.4)]
 )
