--- a/src/wisteriaworks/local_layout.py
+++ b/src/wisteriaworks/local_layout.py
@@ -44,6 +44,8 @@
     slots: int = 2
     connections: int = 25
     keyed: bool = False
+    # Hits of a query in the entire index.
+    hits: int = 20
 
 
 @dataclass(frozen=True)
@@ -127,9 +129,11 @@
 
 def create_emulator_settings(layout, document, addresses, number):
     """Return the settings of one of the emulators that share the servers."""
+    hits = {index.name: index.hits for index in layout.indexes}
     indexes = {
         name: EmulatedIndex(
-            partition_map=tuple(sorted({s.replica_set for s in index.servers}))
+            partition_map=tuple(sorted({s.replica_set for s in index.servers})),
+            hits=hits[name],
         )
         for name, index in document.indexes.items()
     }
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -56,6 +56,8 @@
         self.fails = False
         # Whether the server runs requests, and closes the connection then.
         self.closes_instead_of_answering = False
+        # Bytes of each answer beside its records.
+        self.padding = b""
         self.ran = []
         # Headers of the latest request.
         self.headers = {}
@@ -109,7 +111,7 @@
                 return False
             status = "500 X" if self.fails else status
             head += f"X-Wisteriaworks-Server-Stamp: {self.id}.{request_id}\r\n"
-        body = struct.pack(">QQ", len(self.ran), int(self.id[1:])) * 2
+        body = struct.pack(">QQ", len(self.ran), int(self.id[1:])) * 2 + self.padding
         head = f"HTTP/1.1 {status}\r\n{head}Content-Length: {len(body)}\r\n\r\n"
         await stream.send_all(head.encode() + body)
         return True
