--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -14,7 +14,6 @@
 )
 from wisteriaworks.balancing.traffic import TrafficKind, TrafficMeter, ignore_bytes
 from wisteriaworks.events import Event, log_event
-from wisteriaworks.gateway.answer_memory import AnswerMemory
 from wisteriaworks.gateway.cold_limit import ColdLimit
 from wisteriaworks.gateway.fetch import Fetch, FetchPolicy
 from wisteriaworks.gateway.fleet_shares import FleetShares, list_delegated_services
@@ -29,6 +28,7 @@
 from wisteriaworks.gateway.server_table import ServerTable
 from wisteriaworks.gateway.upstream import ServerPool, estimate_connect_cost
 from wisteriaworks.generated.messages import EarlierRun
+from wisteriaworks.ingress.answer_memory import AnswerMemory
 from wisteriaworks.log_limit import LogLimiter
 from wisteriaworks.rollouts.version_filter import VersionFilter
 
@@ -97,10 +97,11 @@
 class Forwarder:
     """Send requests to servers.
 
-    ``wire`` encodes requests and defines the header names.
+    ``wire`` encodes requests and defines the header names. ``memory`` is the
+    AnswerMemory of the process.
     """
 
-    def __init__(self, cfg, wire, nursery, metrics):
+    def __init__(self, cfg, wire, nursery, metrics, memory=None):
         self._limiter = LogLimiter()
         self._sends = metrics.create_counter(
             "wisteria.gateway.sends", "Sends to servers by kind and outcome"
@@ -117,7 +118,7 @@
         self._send_ids = itertools.count()
         self._abandoned = set()
         self.return_time = ReturnTime()
-        self._memory = AnswerMemory()
+        self._memory = memory or AnswerMemory(math.inf)
         self.fleet.stats.estimate_wait = self._estimate_wait
         # Returns the Failure because of which a request can't be sent now, or None.
         self.check_key = lambda request: None
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -73,7 +73,8 @@
         async with trio.open_nursery() as nursery:
             metrics = Metrics(PROGRAM, cfg.name)
             self._ingress = Ingress(cfg.ingress, metrics=metrics)
-            forwarder = Forwarder(cfg, wire, nursery, metrics)
+            answers = self._ingress.answers
+            forwarder = Forwarder(cfg, wire, nursery, metrics, answers)
             state = GatewayState(
                 cfg.name,
                 forwarder.fleet,
--- a/src/wisteriaworks/gateway/response_reader.py
+++ b/src/wisteriaworks/gateway/response_reader.py
@@ -101,6 +101,15 @@
             return None
         return self._finish(closes_connection=True)
 
+    def close(self):
+        """Free what is held; no other method may be called then.
+
+        The parser and the reader refer to each other, so they would be kept until the
+        garbage collector runs.
+        """
+        self._parser = None
+        self._body = bytearray()
+
     # Callbacks of the parser
 
     def on_message_begin(self):
@@ -169,7 +178,7 @@
         answer = ServerAnswer(
             status=self._status,
             headers=select_end_to_end_headers(self._headers),
-            body=bytes(self._body),
+            body=self._take_body(),
             signature=by_name.get(response_format.signature),
             request_id=by_name.get(response_format.request_id),
             not_run=response_format.not_run in by_name
@@ -182,6 +191,11 @@
         self._method = None
         return answer
 
+    def _take_body(self):
+        # An idle connection must not keep the body of its last answer.
+        body, self._body = self._body, bytearray()
+        return bytes(body)
+
 
 def _read_timeout(value):
     """Return the timeout of a Keep-Alive header in seconds, or None."""
--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -7,6 +7,7 @@
 """
 
 import errno
+import math
 import socket
 from collections import deque
 from dataclasses import dataclass
@@ -16,7 +17,6 @@
 
 from wisteriaworks.balancing.traffic import ignore_bytes
 from wisteriaworks.events import log_failure
-from wisteriaworks.gateway.answer_memory import AnswerMemory
 from wisteriaworks.gateway.model import Answered, Failed, Failure, Refused
 from wisteriaworks.gateway.response_reader import (
     MAX_ANSWER_BYTES,
@@ -24,9 +24,12 @@
     ResponseReader,
 )
 from wisteriaworks.gateway.server_stats import NEW_CONNECTION_COST_S
+from wisteriaworks.ingress.answer_memory import AnswerMemory
 from wisteriaworks.rpc import split_address
 
 READ_BYTES = 65536
+# Interval at which an answer that has to wait for memory checks for room.
+ROOM_INTERVAL_S = 0.05
 # A connect takes one round trip and up to 6 ms at the server. A lost SYN is
 # retransmitted only after a second, which is too late.
 CONNECT_TIMEOUT_S = 0.4
@@ -133,6 +136,7 @@
         if not self._is_closed:
             self._is_closed = True
             self._pool.memory.update(self, 0)
+            self._reader.close()
             trio.lowlevel.notify_closing(self._sock)
             self._sock.close()
 
@@ -141,7 +145,10 @@
         try:
             while not self._is_closed:
                 await trio.lowlevel.wait_readable(self._sock)
-                if not self._receive():
+                room = self._pool.memory.compute_room(self, trio.current_time())
+                if not room:
+                    await trio.sleep(ROOM_INTERVAL_S)
+                elif not self._receive(min(room, READ_BYTES)):
                     break
         except (OSError, trio.ClosedResourceError):
             self._fail_exchange(Failure.BROKEN)
@@ -150,10 +157,10 @@
             self._fail_exchange(Failure.BROKEN)
             self._pool.remove(self)
 
-    def _receive(self):
+    def _receive(self, max_bytes):
         """Read once and return whether the connection stays open."""
         try:
-            data = self._sock.recv(READ_BYTES)
+            data = self._sock.recv(max_bytes)
         except BlockingIOError:
             return True
         self._pool.count_bytes(0, len(data))
@@ -243,7 +250,7 @@
         self._address = address
         # Called with the numbers of bytes sent and received.
         self.count_bytes = count_bytes
-        self.memory = memory or AnswerMemory()
+        self.memory = memory or AnswerMemory(math.inf)
         self.response_format = response_format
         self.nursery = nursery
         self.limit = 1
--- a/src/wisteriaworks/ingress/client_table.py
+++ b/src/wisteriaworks/ingress/client_table.py
@@ -24,6 +24,7 @@
     IDLE = "idle"
     READING = "reading"
     RUNNING = "running"
+    ANSWERING = "answering"
     CLOSING = "closing"
 
 
@@ -42,7 +43,7 @@
     served: int = 0
 
     def has_stopped(self, now):
-        """Return whether no byte has arrived for some time."""
+        """Return whether no byte has arrived or been taken for some time."""
         return now - self.progressed_at >= STALL_S
 
 
@@ -110,6 +111,17 @@
         """Record that a request is complete; it holds its memory until its answer."""
         client.phase = Phase.RUNNING
 
+    def answer(self, client, now):
+        """Record that the client begins to take the answer to its request.
+
+        The request is not held any more.
+        """
+        client.progressed_at = now
+        if client in self.clients:
+            self._set_held(client, 0)
+        if client.phase is not Phase.CLOSING:
+            client.phase = Phase.ANSWERING
+
     def release(self, client, phase, now):
         """Record that a request has ended."""
         client.phase = phase
@@ -151,6 +163,6 @@
     match client.phase:
         case Phase.IDLE | Phase.CLOSING:
             return True
-        case Phase.READING:
+        case Phase.READING | Phase.ANSWERING:
             return client.has_stopped(now)
     return False
--- a/src/wisteriaworks/ingress/connection.py
+++ b/src/wisteriaworks/ingress/connection.py
@@ -12,14 +12,11 @@
 
 from wisteriaworks.errors import ERROR_RESPONSES, ErrorKind, RequestError
 from wisteriaworks.events import log_failure
+from wisteriaworks.ingress.answer_writer import AnswerWriter
 from wisteriaworks.ingress.client_table import Client, Phase
 from wisteriaworks.ingress.limits import READ_BYTES
 from wisteriaworks.ingress.request_reader import RequestReader
 
-# An answer is sent in pieces, each of which the client has to take within the
-# timeout. A link of 7 Mbit/s takes 0.1 s for a piece.
-PIECE_BYTES = 64 * 1024
-SEND_TIMEOUT_S = 30.0
 # The kernel drops an answer that the client has not read if the connection is closed
 # while bytes of the client have not been read. These are read and dropped first.
 LINGER_S = 1.0
@@ -44,7 +41,9 @@
         self._server, self._peer = server, peer
         self._requests = 0
         self._method = b""
+        self._headers = []
         self.client = Client(self._end, trio.current_time(), is_public)
+        self._writer = AnswerWriter(stream, ingress, self.client)
         self._h11 = self._reader = self._response = None
         self._is_answered = self._is_broken = False
         self._linger_scope = trio.CancelScope()
@@ -71,6 +70,7 @@
 
     def _end(self, kind):
         self._reader.end(kind)
+        self._writer.cancel()
         self._linger_scope.cancel()
 
     async def _serve_request(self):
@@ -87,6 +87,7 @@
             return False
         self._requests += 1
         self._method = head.method
+        self._headers = head.headers
         await self._run_app(self._make_scope(head))
         if self._is_answered and self._may_continue():
             return True
@@ -195,6 +196,8 @@
             headers.append(RETRY_AFTER)
         events = [h11.Response(status_code=status, headers=headers)]
         self._is_answered = True
+        # The app needs them no more, and a slow client would hold them for long.
+        self._headers.clear()
         if body and status not in _BODILESS and self._method != b"HEAD":
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
@@ -202,11 +205,10 @@
 
     async def _write(self, *events):
         try:
-            data = b"".join(self._h11.send(event) for event in events)
-            for start in range(0, len(data), PIECE_BYTES):
-                with trio.fail_after(SEND_TIMEOUT_S):
-                    await self._stream.send_all(data[start : start + PIECE_BYTES])
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+            send = self._h11.send_with_data_passthrough
+            parts = [part for event in events for part in send(event)]
+            self._is_broken |= not await self._writer.write(parts)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._is_broken = True
         except h11.LocalProtocolError as exc:
             self._is_broken = True
--- a/src/wisteriaworks/ingress/ingress.py
+++ b/src/wisteriaworks/ingress/ingress.py
@@ -5,6 +5,7 @@
 from wisteriaworks.errors import ErrorKind
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.settings import IngressSettings
+from wisteriaworks.ingress.answer_memory import AnswerMemory
 from wisteriaworks.ingress.client_table import ClientTable, Phase
 from wisteriaworks.ingress.limits import HttpLimits
 from wisteriaworks.log_limit import LogLimiter
@@ -30,6 +31,9 @@
             private_connections=PRIVATE_CONNECTIONS,
             on_refusal=self.record_refusal,
         )
+        self.answers = AnswerMemory(
+            int(cfg.memory_mb * cfg.answer_share * 1024 * 1024), self.record_refusal
+        )
         self.is_stopping = False
         # Held by the only connection that parses a costly part of a request, so that
         # at most one such part is parsed before all other tasks run.
@@ -66,12 +70,17 @@
                 client.end(ErrorKind.ENTRY_STOPPING)
 
     def _register(self, metrics):
-        table = self.table
+        table, answers = self.table, self.answers
         metrics.create_gauge(
             "wisteria.ingress.held",
             "Estimated bytes held by requests of clients without an answer",
             lambda: table.held,
         )
+        metrics.create_gauge(
+            "wisteria.ingress.answers",
+            "Bytes of unfinished answers of servers and answers that clients take",
+            lambda: answers.total,
+        )
         metrics.create_gauge(
             "wisteria.ingress.connections",
             "Open connections of clients",
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -8,7 +8,6 @@
 import pytest
 import trio
 
-from wisteriaworks.gateway.answer_memory import AnswerMemory
 from wisteriaworks.gateway.model import (
     KEY_FAILURES,
     Answered,
@@ -17,6 +16,7 @@
     Refused,
 )
 from wisteriaworks.gateway.upstream import Exchange, ServerPool
+from wisteriaworks.ingress.answer_memory import AnswerMemory
 from wisteriaworks.platform.wire import response_format
 
 REFUSAL = "HTTP/1.1 503 X\r\nX-Wisteriaworks-Not-Executed: 1\r\n"
--- a/tests/ingress/test_connection.py
+++ b/tests/ingress/test_connection.py
@@ -38,10 +38,12 @@
 
 
 class Harness:
-    def __init__(self, nursery, app, **settings):
+    def __init__(
+        self, nursery, app, open_pair=trio.testing.memory_stream_pair, **settings
+    ):
         self.app = app
         self.ingress = Ingress(IngressSettings(**settings), LIMITS)
-        self.stream, server = trio.testing.memory_stream_pair()
+        self.stream, server = open_pair()
         pair = ("127.0.0.1", 1)
         self.connection = Connection(server, app, self.ingress, pair, pair)
         nursery.start_soon(self.connection.run)
@@ -267,3 +269,43 @@
         await send_response(send, 200, b"body", ((b"x-foo", value),))
 
     assert list_statuses(await Harness(nursery, app).exchange(GET)) == [status]
+
+
+async def test_slow_link_gets_a_long_answer(nursery, autojump_clock):
+    """An answer had to be taken within the timeout, or used up the memory."""
+    pair = trio.testing.lockstep_stream_pair
+    harness = Harness(nursery, App(), pair, memory_mb=1.0, answer_share=0.1)
+    harness.app.answer = bytes(300_000)
+    nursery.start_soon(harness.stream.send_all, GET)
+    received = b""
+    while not received.endswith(harness.app.answer):
+        received += await harness.stream.receive_some(4000)
+        await trio.sleep(1.0)
+    assert harness.ingress.answers.total == 0
+
+
+async def test_client_without_progress_is_ended_while_others_need_memory(
+    nursery, autojump_clock
+):
+    pair = trio.testing.lockstep_stream_pair
+    harness = Harness(nursery, App(), pair, memory_mb=1.0, answer_share=0.1)
+    other = Harness(nursery, harness.app, pair)
+    other.connection._ingress = other.connection._writer._ingress = harness.ingress
+    harness.app.answer = bytes(300_000)
+    await harness.stream.send_all(GET)
+    await trio.sleep(2.0)
+    await other.stream.send_all(GET)
+    assert len(await other.stream.receive_some()) > 0
+    with pytest.raises(trio.BrokenResourceError):
+        await harness.stream.send_all(GET)
+    assert harness.connection.client not in harness.ingress.table.clients
+
+
+async def test_client_that_takes_nothing_is_ended_alone(nursery, autojump_clock):
+    pair = trio.testing.lockstep_stream_pair
+    harness = Harness(nursery, App(), pair)
+    harness.app.answer = bytes(300_000)
+    await harness.stream.send_all(GET)
+    await trio.sleep(60.0)
+    assert not harness.ingress.table.clients
+    assert harness.ingress.answers.total == 0
