--- a/src/wisteriaworks/platform/operator_api.py
+++ b/src/wisteriaworks/platform/operator_api.py
@@ -15,6 +15,7 @@
 from wisteriaworks.order_age import OrderAge
 from wisteriaworks.platform import rollout_format
 from wisteriaworks.platform.config_format import read_configuration
+from wisteriaworks.shared_read import SharedRead
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 _CONFIG_PATH = "/api/config"
@@ -34,6 +35,8 @@
         self._has_rollouts = has_rollouts
         self._operator_commands = operator_commands
         self._stall_watch = stall_watch
+        # A configuration may be large, and each read passes it through the leader.
+        self._read_source = SharedRead(operator_commands.read_source, UnavailableError)
 
     async def __call__(self, scope, receive, send):
         match scope["type"]:
@@ -116,5 +119,5 @@
         return 200, b"{}"
 
     async def _get(self):
-        version, source = await self._operator_commands.read_source()
+        version, source = await self._read_source.run()
         return (200, source) if version else (503, b"there is no configuration yet")
