--- a/src/wisteriaworks/fan_out.py
+++ b/src/wisteriaworks/fan_out.py
@@ -98,14 +98,20 @@
             await self._wait_for_replies()
             self._close()
             nursery.cancel_scope.cancel()
+        replies = [p.reply for p in self._shards if p.reply is not None]
+        reasons = {
+            (p.plan.index, p.plan.shard): p.reason
+            for p in self._shards
+            if p.reply is None
+        }
+        # Attempts and shards refer to each other, so the replies would be kept until
+        # the garbage collector runs.
+        for progress in self._shards:
+            progress.reply = None
         return FanOutResult(
             task=self._task,
-            replies=[p.reply for p in self._shards if p.reply is not None],
-            reasons={
-                (p.plan.index, p.plan.shard): p.reason
-                for p in self._shards
-                if p.reply is None
-            },
+            replies=replies,
+            reasons=reasons,
             records=tuple(
                 make_record(self._task.run_number, a) for a in self._attempts
             ),
--- a/tests/ingress/test_unread_answers.py
+++ b/tests/ingress/test_unread_answers.py
@@ -13,7 +13,7 @@
 REQUESTS = 8
 
 
-@pytest.mark.parametrize("target", ["gateway", "control"], indirect=True)
+@pytest.mark.parametrize("target", ["gateway", "control", "entry"], indirect=True)
 @pytest.mark.parametrize("take", [crowd.take_nothing, crowd.take_slowly])
 @pytest.mark.parametrize("requests", [1, REQUESTS])
 async def test_unread_answers_are_bounded(target, take, requests):
