--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -301,7 +301,7 @@
         return next(self._send_ids)
 
     def encode(self, request, server, left_s):
-        """Return a request as bytes for one server."""
+        """Return the head and the body of a request for one server as bytes."""
         left_ms = max(1, math.floor(left_s * 1000))
         return self._wire.encode_request(request, server.id, left_ms)
 
--- a/src/wisteriaworks/gateway/upstream.py
+++ b/src/wisteriaworks/gateway/upstream.py
@@ -28,6 +28,8 @@
 from wisteriaworks.rpc import split_address
 
 READ_BYTES = 65536
+# A request with a longer body is sent in two parts.
+MAX_COPIED_BYTES = 16 * 1024
 # Interval at which an answer that has to wait for memory checks for room.
 ROOM_INTERVAL_S = 0.05
 # A connect takes one round trip and up to 6 ms at the server. A lost SYN is
@@ -50,7 +52,6 @@
 # of a refusal would pass as the answer to a second send of the same request, so a
 # connection never carries a request again that is among its latest ones.
 REMEMBERED_REQUESTS = 8
-_WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK)
 
 
 def estimate_connect_cost(work_s):
@@ -66,10 +67,10 @@
 class Exchange:
     """Represent one request to one server until its outcome is known.
 
-    ``encode()`` returns the bytes at the moment they are sent, so that they state
-    the time that remains then. ``on_outcome`` is called at most once, from any
-    task. ``deadline_at`` is on the monotonic clock. A request that would be sent
-    later is not sent. A body of more than ``max_body_bytes`` is malformed.
+    ``encode()`` returns head and body as bytes at the moment they are sent, so that
+    the head states the time that remains then. ``on_outcome`` is called at most once,
+    from any task. ``deadline_at`` is on the monotonic clock. A request that would be
+    sent later is not sent. A body of more than ``max_body_bytes`` is malformed.
     ``check_send()`` returns the Failure because of which the request can't be sent
     now, or None.
     """
@@ -102,7 +103,8 @@
         self._sock = sock
         self._pool = pool
         self._reader = ResponseReader(pool.response_format)
-        self._unsent = b""
+        # Parts of the request that have not been sent.
+        self._unsent = deque()
         # Set when _send starts _send_remaining, and cleared when that ends. It is only
         # compared with None; the token itself is not used.
         self._writer_token = None
@@ -126,9 +128,12 @@
         self.exchange = exchange
         exchange.conn = self
         self._reader.expect(exchange.method, exchange.max_body_bytes)
-        data = exchange.encode()
-        self._pool.count_bytes(len(data), 0)
-        self._unsent = memoryview(data)
+        head, body = exchange.encode()
+        self._pool.count_bytes(len(head) + len(body), 0)
+        # A long body is not copied, since it may be sent to many servers at once.
+        is_long = len(body) > MAX_COPIED_BYTES
+        parts = (head, body) if is_long else (head + body,)
+        self._unsent = deque(map(memoryview, parts))
         self._send()
 
     def close(self):
@@ -207,26 +212,31 @@
 
     def _send(self):
         try:
-            sent = self._sock.send(self._unsent)
-        except OSError as exc:
-            if exc.errno not in _WOULD_BLOCK:
-                return self.close()
-            sent = 0
-        # An idle connection must not keep the body of its last request.
-        self._unsent = self._unsent[sent:] or b""
+            self._write()
+        except OSError:
+            return self.close()
         if self._unsent and self._writer_token is None:
             self._writer_token = trio.lowlevel.current_trio_token()
             self._pool.nursery.start_soon(self._send_remaining)
         return None
 
+    def _write(self):
+        """Send as much as the kernel takes. Raises OSError."""
+        while self._unsent:
+            try:
+                sent = self._sock.send(self._unsent[0])
+            except BlockingIOError:
+                return
+            # An idle connection must not keep the body of its last request.
+            rest = self._unsent.popleft()[sent:]
+            if rest:
+                self._unsent.appendleft(rest)
+
     async def _send_remaining(self):
         try:
             while self._unsent and not self._is_closed:
                 await trio.lowlevel.wait_writable(self._sock)
-                sent = self._sock.send(self._unsent)
-                self._unsent = self._unsent[sent:] or b""
-        except BlockingIOError:
-            self._pool.nursery.start_soon(self._send_remaining)
+                self._write()
         except (OSError, trio.ClosedResourceError):
             self.close()
         except Exception as exc:
--- a/src/wisteriaworks/platform/headers.py
+++ b/src/wisteriaworks/platform/headers.py
@@ -72,7 +72,10 @@
 
 
 def encode_request(request, server_id, left_ms):
-    """Return the bytes of a request to one server."""
+    """Return the head and the body of a request to one server as bytes.
+
+    All servers of a request share the bytes of its body.
+    """
     lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
     lines += [b"%b: %b" % header for header in request.headers]
     lines.append(b"%b: %b" % (REQUEST_ID, request.id))
@@ -82,7 +85,7 @@
         lines.append(b"%b: %b" % (ACCOUNT, request.account.encode()))
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"content-length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n", request.body
 
 
 def encode_parts(parts, missing):
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -82,7 +82,7 @@
     def __init__(self, pool, request_id, body=b"", deadline_at=math.inf, **limits):
         self.outcomes = []
         self.done = trio.Event()
-        self._data = f"GET /{request_id} HTTP/1.1\r\n\r\n".encode() + body
+        self._data = f"GET /{request_id} HTTP/1.1\r\n\r\n".encode(), body
         self.exchange = Exchange(
             b"GET",
             request_id.encode(),
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -29,7 +29,7 @@
 
 def encode(scope, body=b"body"):
     request = read_request(scope, body, now=5.0)
-    return request, encode_request(request, "i-7", 123)
+    return request, b"".join(encode_request(request, "i-7", 123))
 
 
 def test_request_is_forwarded_unchanged():
@@ -60,7 +60,7 @@
     request, _ = encode(scope)
     assert b"secret" not in repr(request).encode()
     request = dataclasses.replace(request, account=account)
-    data = encode_request(request, "i-7", 123).lower()
+    data = b"".join(encode_request(request, "i-7", 123)).lower()
     assert b"secret" not in data
     assert b"forged" not in data
     assert (b"x-wisteriaworks-tenant-id: ralo620\r\n" in data) is bool(account)
