--- a/src/wisteriaworks/ingress/client_table.py
+++ b/src/wisteriaworks/ingress/client_table.py
@@ -16,6 +16,9 @@
 # A client without a byte for this long has stopped. A lost segment is sent again
 # after 0.2 to 1 s.
 STALL_S = 2.0
+# Share of the memory that large requests leave while they run. Requests within an equal
+# part of it for each connection are not large.
+RESERVED_SHARE = 0.25
 
 
 class Phase(Enum):
@@ -108,8 +111,24 @@
         return self.held > self.max_held and self._make_room(now)
 
     def run(self, client):
-        """Record that a request is complete; it holds its memory until its answer."""
+        """Record that a request is complete, and return whether it may run.
+
+        It holds its memory until its answer. Large requests that run leave some of the
+        memory, so that ordinary ones are not refused until their answers.
+        """
         client.phase = Phase.RUNNING
+        reserve = self.max_held * RESERVED_SHARE
+        if not client.is_public or client.held <= reserve / self.max_connections:
+            return True
+        running = [
+            c.held
+            for c in self.clients
+            if c.phase is Phase.RUNNING and c.held > reserve / self.max_connections
+        ]
+        if len(running) == 1 or sum(running) <= self.max_held - reserve:
+            return True
+        self.on_refusal("running")
+        return False
 
     def answer(self, client, now):
         """Record that the client begins to take the answer to its request.
--- a/src/wisteriaworks/ingress/request_reader.py
+++ b/src/wisteriaworks/ingress/request_reader.py
@@ -196,8 +196,8 @@
         self._body_bytes += len(data)
         held = self._held + estimate_body(self._body_bytes)
         self._hold(held, trio.current_time())
-        if self.is_complete:
-            self._ingress.table.run(self._client)
+        if self.is_complete and not self._ingress.table.run(self._client):
+            raise RequestError(ErrorKind.BUFFERS_FULL, "large requests are running")
         return data
 
     def _check_trailers(self, headers):
--- a/tests/ingress/test_client_table.py
+++ b/tests/ingress/test_client_table.py
@@ -53,6 +53,25 @@
     assert h.ended == [(new, ErrorKind.BUFFERS_FULL)]
 
 
+def test_large_requests_leave_memory_to_ordinary_ones():
+    """New requests were refused while complete ones held all of the memory."""
+    h = Harness(max_connections=10)
+    assert h.table.run(h.open(size=40))
+    assert h.table.run(h.open(size=30))
+    large = h.open(size=20)
+    assert not h.table.run(large)
+    h.table.release(large, Phase.IDLE, 0.0)
+    for _ in range(7):
+        assert h.table.run(h.open(size=2))
+    assert h.ended == []
+    assert h.refusals == ["running"]
+
+
+def test_single_large_request_may_run():
+    h = Harness()
+    assert h.table.run(h.open(size=500))
+
+
 def test_single_request_is_kept():
     """One request has limits of its own and must be served without other load."""
     h = Harness()
--- a/tests/ingress/test_connection.py
+++ b/tests/ingress/test_connection.py
@@ -1,5 +1,6 @@
 """Guard against requests that a limit should end, or that it must not end."""
 
+import functools
 import re
 
 import pytest
@@ -183,6 +184,33 @@
     assert not harness.app.bodies
 
 
+async def test_large_request_is_refused_as_not_run_while_others_run(
+    nursery, autojump_clock
+):
+    app = App()
+
+    async def run(scope, receive, send):
+        await app(scope, receive, functools.partial(send_late, send))
+
+    async def send_late(send, message):
+        await trio.sleep(1.0)
+        await send(message)
+
+    harness = Harness(nursery, run, memory_mb=1.0, memory_share=0.2)
+    other = Harness(nursery, run)
+    other.connection._ingress = other.ingress = harness.ingress
+    long, short = (
+        HEAD + b"Content-Length: %d\r\n\r\n" % size + bytes(size)
+        for size in (60_000, 40_000)
+    )
+    await harness.stream.send_all(long)
+    await trio.testing.wait_all_tasks_blocked()
+    reply = await other.exchange(short)
+    assert list_statuses(reply) == [503]
+    assert b"retry-after: 1.000\r\n" in reply
+    assert [len(body) for body in app.bodies] == [60_000]
+
+
 async def test_caller_that_leaves_is_reported(nursery, autojump_clock):
     left = trio.Event()
 
