--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -95,6 +95,9 @@
         self.running = 0
         # Parts that this gateway gathers for others.
         self.gathering_parts = 0
+        # Bytes of the bodies of these requests, and their limit.
+        self.gathering_bytes = 0
+        self.max_gathering_bytes = math.inf
 
     @property
     def is_ready(self):
@@ -215,7 +218,7 @@
             return GatheredParts(taken=False)
         if not all(0 <= p < len(route.shards) for p in message.positions):
             return GatheredParts(taken=False)
-        if self.gathering_parts >= MAX_GATHERED_PARTS:
+        if not self._has_room_to_gather(len(message.body)):
             return GatheredParts(taken=False, running=self.gathering_parts)
         now = trio.current_time()
         query = _read_query(message, route, routes, now)
@@ -229,6 +232,7 @@
         size = len(message.positions)
         self.running += 1
         self.gathering_parts += size
+        self.gathering_bytes += len(message.body)
         try:
             progress = await self._forwarder.run_group(
                 query,
@@ -239,8 +243,16 @@
         finally:
             self.running -= 1
             self.gathering_parts -= size
+            self.gathering_bytes -= len(message.body)
         return _make_reply(progress, now, running=self.gathering_parts)
 
+    def _has_room_to_gather(self, size):
+        """Return whether parts for a body of ``size`` bytes may be gathered now."""
+        if self.gathering_parts >= MAX_GATHERED_PARTS:
+            return False
+        gathering_bytes = self.gathering_bytes
+        return not gathering_bytes or gathering_bytes + size <= self.max_gathering_bytes
+
     async def _answer(self, request, route, routes, arrived_at):
         times = self._compute_times(request, route, arrived_at)
         document, result = routes.document, None
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -44,6 +44,8 @@
 # Interval of the check whether the gateway has to read the server list itself.
 LIST_CHECK_S = 0.25
 DRAIN_INTERVAL_S = 0.05
+# Share of the memory that the bodies of other gateways' requests may hold.
+GATHERING_SHARE = 0.1
 # Time before the end of a stop at which running requests are answered, so that the
 # answers can still be sent.
 END_MARGIN_S = 0.25
@@ -94,6 +96,9 @@
             self.app = self._make_app(
                 state, forwarder, log, metrics, gatherer, accounts
             )
+            self.app.max_gathering_bytes = int(
+                cfg.ingress.memory_mb * GATHERING_SHARE * 1024 * 1024
+            )
             self._register_metrics(state, forwarder, metrics)
             self._watch = ControlWatch(cfg, state)
             self._settings = SettingsWatch(self._path, cfg, self._watch.update_settings)
--- a/tests/platform_adapter/test_delegated_queries.py
+++ b/tests/platform_adapter/test_delegated_queries.py
@@ -101,6 +101,20 @@
     assert (after[0] - before[0], after[1] - before[1]) == (len(SHARDS), 0)
 
 
+async def test_delegate_declines_bodies_beyond_its_memory(system):
+    await wait_for_delegate(system)
+    app = system.gateways[FAST_LINK].app
+    app.gathering_bytes, app.max_gathering_bytes = 1, 3
+    before = count_sends(system, FAST_LINK)
+    reply = await system.call("POST", "/shards/x", b"body", gateway=SLOW_LINK)
+    assert reply.status == 200
+    assert count_sends(system, FAST_LINK) == before
+    reply = await system.call("POST", "/shards/x", b"bo", gateway=SLOW_LINK)
+    assert reply.status == 200
+    assert count_sends(system, FAST_LINK) == before + len(SHARDS)
+    assert app.gathering_bytes == 1
+
+
 async def test_query_of_another_version_is_declined(system):
     """Otherwise consecutive requests of a caller could see a newer configuration first
     and an older one next."""
