--- a/src/wisteriaworks/console.py
+++ b/src/wisteriaworks/console.py
@@ -10,6 +10,7 @@
 
 from wisteriaworks import __version__
 from wisteriaworks.admin import AdminApp, serve_http
+from wisteriaworks.allocator import return_large_blocks
 from wisteriaworks.console_app import ConsoleApp
 from wisteriaworks.console_sessions import check_operators
 from wisteriaworks.control_client import ControlClient
@@ -71,6 +72,7 @@
             self.line_error(f"{PROGRAM}: {exc.message}")
             return exc.exit_code
         configure_logs(cfg.log, PROGRAM, cfg.name)
+        return_large_blocks()
         return trio.run(run_console, cfg)
 
 
--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -9,6 +9,7 @@
 
 from wisteriaworks.accounts.confirmations import ConfirmationService
 from wisteriaworks.admin import AdminApp, serve_http
+from wisteriaworks.allocator import return_large_blocks
 from wisteriaworks.assigner import Assigner
 from wisteriaworks.background import keep_running
 from wisteriaworks.clocks import read_boot_time
@@ -299,6 +300,7 @@
             raise SettingsError("data_folder is required without operators")
         return run_redirect(read_settings(path), path)
     configure_logs(cfg.log, PROGRAM, cfg.name)
+    return_large_blocks()
     metrics = Metrics(PROGRAM, cfg.name)
     # A member that starts again after a full disk keeps the metrics of its clients.
     ingress = Ingress(cfg.ingress, metrics=metrics)
--- a/src/wisteriaworks/entry.py
+++ b/src/wisteriaworks/entry.py
@@ -14,6 +14,7 @@
 from wisteriaworks import __version__
 from wisteriaworks.admin import AdminApp, serve_http
 from wisteriaworks.admission import Admission
+from wisteriaworks.allocator import return_large_blocks
 from wisteriaworks.api import Api
 from wisteriaworks.claims import ClaimRunner
 from wisteriaworks.control_client import ControlClient
@@ -175,6 +176,7 @@
             self.line_error(f"{PROGRAM}: {exc.message}")
             return exc.exit_code
         configure_logs(cfg.log, PROGRAM, cfg.name)
+        return_large_blocks()
         try:
             return trio.run(run_entry, cfg)
         except Exception as exc:
--- a/src/wisteriaworks/gateway/model.py
+++ b/src/wisteriaworks/gateway/model.py
@@ -75,7 +75,7 @@
 
     status: int
     headers: tuple[Header, ...]
-    body: bytes
+    body: bytes | bytearray
     signature: bytes | None
     request_id: bytes | None
     not_run: bool
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -11,6 +11,7 @@
 from wisteriaworks.accounts.lease import KeyLease
 from wisteriaworks.accounts.renewal import LeaseRenewal
 from wisteriaworks.admin import AdminApp
+from wisteriaworks.allocator import return_large_blocks
 from wisteriaworks.background import keep_running
 from wisteriaworks.clocks import read_suspended_s
 from wisteriaworks.events import Event, log_event, log_failure
@@ -320,6 +321,7 @@
 def run_gateway(cfg, path):
     """Run a gateway until SIGTERM and return the exit code."""
     configure_logs(cfg.log, PROGRAM, cfg.name)
+    return_large_blocks()
     program = GatewayProgram(cfg, path)
     try:
         return trio.run(run_until_signal, program, cfg.stop_timeout_s)
--- a/src/wisteriaworks/gateway/response_reader.py
+++ b/src/wisteriaworks/gateway/response_reader.py
@@ -192,9 +192,10 @@
         return answer
 
     def _take_body(self):
-        # An idle connection must not keep the body of its last answer.
+        # An idle connection must not keep the body of its last answer. It is not copied
+        # into bytes, since it may be long.
         body, self._body = self._body, bytearray()
-        return bytes(body)
+        return body
 
 
 def _read_timeout(value):
--- a/src/wisteriaworks/ingress/answer_memory.py
+++ b/src/wisteriaworks/ingress/answer_memory.py
@@ -104,11 +104,12 @@
         clients are ended to make room for it.
         """
         size = self._unfinished.get(conn, 0)
+        # The beginnings of all answers together would be more than the limit.
+        if size < SMALL_ANSWER_BYTES:
+            return SMALL_ANSWER_BYTES - size
         is_reading_full = self._unfinished_bytes >= self._limit * READING_SHARE
         if not (is_reading_full or self._is_delivery_full()):
             return math.inf
-        if size < SMALL_ANSWER_BYTES:
-            return SMALL_ANSWER_BYTES - size
         if size < max(self._unfinished.values()):
             return 0
         self._end_slow(now)
--- a/tests/ingress/test_untrusted_clients.py
+++ b/tests/ingress/test_untrusted_clients.py
@@ -10,6 +10,9 @@
 
 CONNECTIONS = 300
 MAX_CONNECTIONS = 100
+CLIENTS_PER_FORM = 8
+# Time for the answers to arrive; not a bound.
+SETTLE_S = 2.0
 
 
 @pytest.mark.parametrize("target", ["gateway", "control", "entry"], indirect=True)
@@ -79,3 +82,25 @@
             await trio.sleep(0.2)
     assert crowd.count_descriptors(target.pid) - before <= CLIENTS // 4
     await check_served(target)
+
+
+@pytest.mark.parametrize("target", ["gateway", "control", "entry"], indirect=True)
+async def test_crowd_of_all_forms_is_bounded(target):
+    await target.lengthen()
+    await check_served(target)
+    before = crowd.read_memory_mb(target.pid, "VmRSS")
+    crowd.reset_peak(target.pid)
+    forms = (
+        crowd.make_body(target.head, target.body_bytes),
+        crowd.make_chunks(target.head, target.body_bytes),
+        crowd.make_chunks(target.head, 20_000, chunk=1),
+        crowd.make_header_lines(target.head, 16_000),
+        crowd.make_trailers(target.head, 500_000),
+    )
+    clients = [*forms * CLIENTS_PER_FORM]
+    clients += [[target.ask()] for _ in range(CLIENTS_PER_FORM)]
+    clients += [[target.ask() for _ in range(8)] for _ in range(CLIENTS_PER_FORM)]
+    async with crowd.open_clients(target.address, clients, settle_s=SETTLE_S):
+        await check_served(target)
+        check_memory(target, before)
+    await check_served(target)
