--- a/src/wisteriaworks/console.py
+++ b/src/wisteriaworks/console.py
@@ -17,6 +17,7 @@
 from wisteriaworks.errors import WisteriaError
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.generated.settings import ConsoleSettings
+from wisteriaworks.ingress.ingress import Ingress
 from wisteriaworks.logs import configure_logs
 from wisteriaworks.metrics import Metrics
 from wisteriaworks.settings import load_settings
@@ -35,9 +36,11 @@
         nursery = await stack.enter_async_context(trio.open_nursery())
         stop = await nursery.start(wait_for_stop)
         app = ConsoleApp(cfg, client, trio.current_time)
-        await nursery.start(serve_http, app, cfg.listen)
-        admin = AdminApp(lambda: not stop.is_set(), Metrics(PROGRAM, cfg.name))
-        await nursery.start(serve_http, admin, cfg.admin)
+        metrics = Metrics(PROGRAM, cfg.name)
+        ingress = Ingress(cfg.ingress, metrics=metrics)
+        await nursery.start(serve_http, app, cfg.listen, None, ingress)
+        admin = AdminApp(lambda: not stop.is_set(), metrics)
+        await nursery.start(serve_http, admin, cfg.admin, None, ingress, True)
         log_event(Event.PROCESS_STARTED, listen=cfg.listen)
         await stop.wait()
         code = await _finish(app)
--- a/tests/ingress/conftest.py
+++ b/tests/ingress/conftest.py
@@ -1,10 +1,13 @@
 """Programs with low limits, each with its port for clients."""
 
+import contextlib
 import functools
+import hashlib
 import itertools
 import json
 
 import crowd
+import httpcore
 import msgspec
 import pytest
 import trio
@@ -21,7 +24,9 @@
 )
 from test_gateway_system import make_configuration
 
+from wisteriaworks.generated.settings import ConsoleSettings
 from wisteriaworks.local_system import LocalSystem, create_id
+from wisteriaworks.processes import fetch, find_free_ports, start_process
 
 
 async def put_configuration(system, version, padding=b""):
@@ -117,6 +122,54 @@
         yield Target(pid, cfg.api, head, is_served, ask, lengthen)
 
 
+@pytest.fixture
+async def redirect(system):
+    """Run control on a VM without a disk, which directs callers to the members."""
+    host = "127.0.0.9"
+    cfg = system.make_control_settings(host)
+    process = await system.start_redirect(host, cfg)
+    address = cfg.operators.listen
+
+    async def is_served():
+        with contextlib.suppress(httpcore.NetworkError, httpcore.TimeoutException):
+            return (await fetch("GET", address, "/api/config"))[0] == 307
+
+    head = functools.partial(crowd.encode_head, b"/api/config", method=b"PUT")
+    ask = functools.partial(crowd.encode_head, b"/api/config", method=b"GET")
+    return Target(process.pid, address, head, is_served, ask, trio.lowlevel.checkpoint)
+
+
+@pytest.fixture
+async def console(tmp_path):
+    listen, admin = (f"127.0.0.1:{port}" for port in find_free_ports(2))
+    cfg = ConsoleSettings(
+        name="console-1",
+        listen=listen,
+        admin=admin,
+        control=(listen,),
+        operators={"mira": hashlib.sha256(b"x").hexdigest()},
+        ingress=INGRESS,
+    )
+    path = tmp_path / "console.yaml"
+    path.write_bytes(msgspec.yaml.encode(cfg))
+    process = await start_process(
+        "console", "console", ["run", path], admin, tmp_path / "console.log"
+    )
+    try:
+        await process.wait_ready()
+
+        async def is_served():
+            return (await fetch("GET", listen, "/sign-in"))[0] == 200
+
+        head = functools.partial(crowd.encode_head, b"/sign-in")
+        ask = functools.partial(crowd.encode_head, b"/sign-in", method=b"GET")
+        checkpoint = trio.lowlevel.checkpoint
+        yield Target(process.pid, listen, head, is_served, ask, checkpoint)
+    finally:
+        with trio.CancelScope(shield=True):
+            await process.kill()
+
+
 @pytest.fixture
 def target(request):
     return request.getfixturevalue(request.param)
--- a/tests/ingress/programs.py
+++ b/tests/ingress/programs.py
@@ -64,6 +64,14 @@
         cfg = super().make_gateway_settings(number, admin)
         return msgspec.structs.replace(cfg, ingress=INGRESS)
 
+    async def start_redirect(self, host, cfg):
+        """Start a control process without a disk, and return it."""
+        cfg = msgspec.structs.replace(cfg, data_folder=None)
+        self._prepare("control", host, cfg, cfg.admin)
+        process = await self._start(host)
+        await process.wait_ready()
+        return process
+
 
 async def check_served(target):
     """Check that an ordinary request is answered, while the crowd is there."""
--- a/tests/ingress/test_untrusted_clients.py
+++ b/tests/ingress/test_untrusted_clients.py
@@ -84,7 +84,9 @@
     await check_served(target)
 
 
-@pytest.mark.parametrize("target", ["gateway", "control", "entry"], indirect=True)
+@pytest.mark.parametrize(
+    "target", ["gateway", "control", "redirect", "entry", "console"], indirect=True
+)
 async def test_crowd_of_all_forms_is_bounded(target):
     await target.lengthen()
     await check_served(target)
