--- a/src/wisteriaworks/ingress/answer_memory.py
+++ b/src/wisteriaworks/ingress/answer_memory.py
@@ -21,7 +21,7 @@
 # While others wait, a client without a byte for this long has stopped. The last segment
 # of a burst, if lost, is sent again after 0.2 s.
 STALL_S = 0.5
-# Rate below which a client is slow, at first.
+# Average rate below which a client is slow.
 SLOW_BYTES_PER_S = 64 * 1024
 
 
--- a/src/wisteriaworks/ingress/answer_writer.py
+++ b/src/wisteriaworks/ingress/answer_writer.py
@@ -28,8 +28,19 @@
         """End the answer that is being written."""
         self._scope.cancel()
 
+    async def write_interim(self, data):
+        """Write an interim answer; return whether the client took it.
+
+        The request goes on, so it is held as before. Raises trio.BrokenResourceError
+        or trio.ClosedResourceError.
+        """
+        with trio.move_on_after(SEND_TIMEOUT_S) as self._scope:
+            await self._stream.send_all(data)
+            return True
+        return False
+
     async def write(self, parts):
-        """Write bytes-like objects; return whether the client took all of them.
+        """Write the bytes-like parts of an answer; return whether all were taken.
 
         Raises trio.BrokenResourceError or trio.ClosedResourceError.
         """
--- a/src/wisteriaworks/ingress/client_table.py
+++ b/src/wisteriaworks/ingress/client_table.py
@@ -118,12 +118,11 @@
         """
         client.phase = Phase.RUNNING
         reserve = self.max_held * RESERVED_SHARE
-        if not client.is_public or client.held <= reserve / self.max_connections:
+        small = reserve / self.max_connections
+        if not client.is_public or client.held <= small:
             return True
         running = [
-            c.held
-            for c in self.clients
-            if c.phase is Phase.RUNNING and c.held > reserve / self.max_connections
+            c.held for c in self.clients if c.phase is Phase.RUNNING and c.held > small
         ]
         if len(running) == 1 or sum(running) <= self.max_held - reserve:
             return True
--- a/src/wisteriaworks/ingress/connection.py
+++ b/src/wisteriaworks/ingress/connection.py
@@ -148,7 +148,7 @@
                 reader.is_disconnected = True
             return {"type": "http.disconnect"}
         if self._h11.they_are_waiting_for_100_continue:
-            await self._write(h11.InformationalResponse(status_code=100, headers=[]))
+            await self._write_continue()
         try:
             data = await reader.read_body()
         except trio.BrokenResourceError:
@@ -203,6 +203,14 @@
         events.append(h11.EndOfMessage())
         await self._write(*events)
 
+    async def _write_continue(self):
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        try:
+            is_taken = await self._writer.write_interim(self._h11.send(event))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            is_taken = False
+        self._is_broken |= not is_taken
+
     async def _write(self, *events):
         try:
             send = self._h11.send_with_data_passthrough
--- a/tests/ingress/test_connection.py
+++ b/tests/ingress/test_connection.py
@@ -184,6 +184,20 @@
     assert not harness.app.bodies
 
 
+async def test_unfinished_request_stays_counted_after_continue(nursery, autojump_clock):
+    """Clients that wait for an interim answer are ended as the others are."""
+    harness = Harness(nursery, App(), memory_mb=1.0, memory_share=0.2)
+    other = Harness(nursery, App())
+    other.connection._ingress = other.ingress = harness.ingress
+    head = HEAD + b"Expect: 100-continue\r\nContent-Length: 200000\r\n\r\n"
+    await harness.stream.send_all(head)
+    assert list_statuses(await harness.stream.receive_some()) == [100]
+    await harness.stream.send_all(bytes(90_000))
+    await trio.testing.wait_all_tasks_blocked()
+    await other.stream.send_all(head + bytes(50_000))
+    assert list_statuses(await harness.read()) == [503]
+
+
 async def test_large_request_is_refused_as_not_run_while_others_run(
     nursery, autojump_clock
 ):
