--- a/src/wisteriaworks/ingress/client_table.py
+++ b/src/wisteriaworks/ingress/client_table.py
@@ -119,7 +119,8 @@
         client.phase = Phase.RUNNING
         reserve = self.max_held * RESERVED_SHARE
         small = reserve / self.max_connections
-        if not client.is_public or client.held <= small:
+        has_room = self.held <= self.max_held - reserve
+        if has_room or not client.is_public or client.held <= small:
             return True
         running = [
             c.held for c in self.clients if c.phase is Phase.RUNNING and c.held > small
