--- a/tests/ingress/test_connection.py
+++ b/tests/ingress/test_connection.py
@@ -314,7 +314,7 @@
 
 
 async def test_slow_link_gets_a_long_answer(nursery, autojump_clock):
-    """An answer had to be taken within the timeout, or used up the memory."""
+    """Limits on answers must not end a client whose memory nobody needs."""
     pair = trio.testing.lockstep_stream_pair
     harness = Harness(nursery, App(), pair, memory_mb=1.0, answer_share=0.1)
     harness.app.answer = bytes(300_000)
--- a/tests/ingress/test_untrusted_clients.py
+++ b/tests/ingress/test_untrusted_clients.py
@@ -1,6 +1,7 @@
 """Guard against clients that exhaust the memory or the descriptors of a program.
 
-The sizes of the crowds and the bounds were fixed on the code without limits.
+The sizes of the crowds and the bounds were fixed on the code without limits; those of
+the crowd of all forms after answers had been limited.
 """
 
 import crowd
