--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -165,8 +165,11 @@
 
     def add_server(self, service, zone, **behaviour):
         """Start a server of a service, list it and return it."""
-        ip = f"{self._prefix}.{100 + len(self.servers)}"
-        server = Server(ip, service, zone, self.record, **behaviour)
+        return self.add(lambda ip: Server(ip, service, zone, self.record, **behaviour))
+
+    def add(self, make_server):
+        """List the server that ``make_server(ip)`` starts, and return it."""
+        server = make_server(f"{self._prefix}.{100 + len(self.servers)}")
         self.servers.append(server)
         return server
 
