Show that a request that ran is answered 503 after late bytes of a refusal

A server sends the beginning of a second copy of a refusal late, cut off after the name of X-Wisteriaworks-Not-Executed, and then answers the next request with 200. The gateway reads both as one refusal of the second request, which ran: it answers 503, or sends the request to another server.

--- a/review/stand_ins_3/faulty_server.py
+++ b/review/stand_ins_3/faulty_server.py
@@ -1,4 +1,4 @@
-"""A server that fails some requests and may send additional bytes after an answer."""
+"""A server that fails or refuses some requests, and may send bytes after an answer."""
 
 import contextlib
 import random
@@ -17,21 +17,31 @@
     "Content-Length: {length}\r\n"
     "\r\n"
 )
+REFUSAL = (
+    "HTTP/1.1 503 Service Unavailable\r\n"
+    "X-Wisteriaworks-Request-Id: {id}\r\n"
+    "X-Wisteriaworks-Not-Executed: 1\r\n"
+    "Keep-Alive: timeout=15\r\n"
+    "Content-Length: 0\r\n"
+    "\r\n"
+)
 
 
 class FaultyServer:
     """Answer requests, a share ``errors`` of them with 500.
 
+    A share ``sheds`` is refused with 503, and is not run.
+
     After a share ``extra`` of the answers, the first bytes of a second copy follow, cut
     off at any point of its head. They are sent late, where the next answer is expected.
     ``answers`` maps the id of each request to its status, signature and body.
     """
 
-    def __init__(self, ip, service, zone, record, errors=0.0, extra=0.0):
+    def __init__(self, ip, service, zone, record, errors=0.0, extra=0.0, sheds=0.0):
         self.id = f"i-{make_request_id()[:8]}"
         self.service, self.zone = service, zone
         self.address = f"{ip}:8080"
-        self.errors, self.extra = errors, extra
+        self.errors, self.extra, self.sheds = errors, extra, sheds
         self.answers = {}
         self.extras_sent = 0
         self._record = record
@@ -89,6 +99,9 @@
 
     def _make_answer(self, headers):
         request_id = headers["x-wisteriaworks-request-id"]
+        if self._rng.random() < self.sheds:
+            self._record.note(f"{self.id} refuses {request_id}")
+            return REFUSAL.format(id=request_id).encode(), b""
         is_failed = self._rng.random() < self.errors
         status, reason = (500, "Internal Server Error") if is_failed else (200, "OK")
         stamp = f"{self.id}.{self._rng.getrandbits(32):08x}"
