Order the member lists of processes without a disk by the log

What callers saw: operators and gateways that a control process without a disk directs could be sent to a member that was removed, to one whose disk was lost, or to a group of their own making, by news that arrived late. With nine members, a process whose members had all moved never asked a seed again. If the seeds were exchanged while a new system forms, a second process could appoint a second founder, and the first one appointed nobody any more.

Cause: MemberView took each list in the order of arrival, counted any answer at a known address, asked the first six known addresses only, and read the first seed from the current settings instead of those at the start.

--- a/src/wisteriaworks/operator_commands.py
+++ b/src/wisteriaworks/operator_commands.py
@@ -336,6 +336,7 @@
             id=replica.id,
             leader=replica.leader_address or "",
             members=tuple(replica.members),
+            commit_index=replica.commit_index,
         )
 
     def redirect_to_leader(self):
--- a/src/wisteriaworks/redirect/messages.py
+++ b/src/wisteriaworks/redirect/messages.py
@@ -1,7 +1,8 @@
 """Encode and decode the few messages between members that the process needs.
 
 The complete codec takes 12 MB and 0.1 s of a start, since it builds the classes of all
-messages. This subset of msgpack has strings, booleans, empty values and arrays.
+messages. This subset of msgpack has strings, booleans, empty values, arrays and
+integers that are not negative.
 """
 
 import struct
@@ -17,6 +18,9 @@
 # Formats of the lengths of strings and arrays, by their first byte.
 _STRING_LENGTHS = {0xD9: ">B", 0xDA: ">H", 0xDB: ">I"}
 _ARRAY_LENGTHS = {0xDC: ">H", 0xDD: ">I"}
+# Formats of the integers that do not fit into their first byte.
+_INTEGERS = {0xCC: ">B", 0xCD: ">H", 0xCE: ">I", 0xCF: ">Q"}
+_MAX_SMALL_INTEGER = 0x7F
 
 
 def encode(value):
@@ -63,6 +67,12 @@
     first = data[at]
     if first in _CONSTANTS:
         return _CONSTANTS[first], at + 1
+    if first <= _MAX_SMALL_INTEGER:
+        return first, at + 1
+    if first in _INTEGERS:
+        pattern = _INTEGERS[first]
+        (number,) = struct.unpack_from(pattern, data, at + 1)
+        return number, at + 1 + struct.calcsize(pattern)
     if 0xA0 <= first <= 0xBF or first in _STRING_LENGTHS:
         return _decode_string(data, at)
     count, at = _read_count(data, at)
--- a/src/wisteriaworks/redirect/process.py
+++ b/src/wisteriaworks/redirect/process.py
@@ -152,19 +152,17 @@
         self._open(sock, protocol, deadline, None if is_http else SILENCE_S)
 
     def _ask(self, address, now):
-        on_reply = functools.partial(self._handle_reply, address)
         try:
             sock = socket.socket()
             sock.setblocking(False)
             sock.connect_ex(_split(address))
         except (OSError, ValueError):
             return
-        question = MembersQuestion(on_reply)
+        question = MembersQuestion(self._handle_reply)
         self._open(sock, question, now + QUESTION_TIMEOUT_S, None, question.request)
 
-    def _handle_reply(self, address, member_id, leader, listed):
-        now = time.monotonic()
-        self._view.handle_reply(address, member_id, leader, listed, now)
+    def _handle_reply(self, reply):
+        self._view.handle_reply(reply, time.monotonic())
 
     def _open(self, sock, protocol, deadline, idle_s, pending=b""):
         sock.setblocking(False)
--- a/src/wisteriaworks/redirect/protocols.py
+++ b/src/wisteriaworks/redirect/protocols.py
@@ -6,6 +6,7 @@
 
 from wisteriaworks.framing import Frame, FrameError, FrameKind, FrameReader, pack_frame
 from wisteriaworks.redirect import messages
+from wisteriaworks.redirect.members import MembersReply
 
 MAX_HEAD_BYTES = 16384
 # The body of an operator's call is read and discarded, since a connection that is
@@ -141,7 +142,7 @@
 class MembersQuestion:
     """Ask one process for the members.
 
-    ``on_reply(member_id, leader, listed)`` is called with its answer.
+    ``on_reply(reply)`` is called with its answer, a MembersReply.
     """
 
     request = pack_frame(
@@ -165,11 +166,16 @@
         return b""
 
     def _read(self, payload):
-        tag, member_id, leader, listed = messages.decode(payload)[:4]
+        tag, member_id, leader, listed, *rest = messages.decode(payload)
         if tag == messages.MEMBERS_REPLY:
             # An encoded member begins with its tag, its id and its address.
-            addresses = [_check_address(member[2]) for member in listed]
-            self._on_reply(str(member_id), leader and _check_address(leader), addresses)
+            reply = MembersReply(
+                member_id=str(member_id),
+                leader=leader and _check_address(leader),
+                listed={str(m[1]): _check_address(m[2]) for m in listed},
+                commit_index=int(rest[0]) if rest else 0,
+            )
+            self._on_reply(reply)
 
 
 def _check_address(address):
--- a/src/wisteriaworks/replica.py
+++ b/src/wisteriaworks/replica.py
@@ -134,6 +134,11 @@
         """Return the active member list."""
         return self._consensus.members
 
+    @property
+    def commit_index(self):
+        """Return the index of the last entry known to be committed."""
+        return self._consensus.commit_index
+
     @property
     def last_contacts(self):
         """Return the time of the last contact with each other member, if leader."""
--- a/tests/platform_adapter/test_redirect.py
+++ b/tests/platform_adapter/test_redirect.py
@@ -26,6 +26,8 @@
 LISTEN, ADDRESS = "10.0.0.9:81", "10.0.0.9:70"
 SEEDS = ("10.0.0.9:81", "10.0.0.1:82")
 ONE, TWO = "10.0.0.1:70", "10.0.0.2:70"
+THREE, FOUR = "10.0.0.3:70", "10.0.0.4:70"
+ADDRESSES = (ONE, TWO, THREE, FOUR)
 SECONDS = 20.0
 
 
@@ -33,21 +35,28 @@
     return members.MemberView(LISTEN, ADDRESS, seeds, found, 0.0)
 
 
+def make_reply(member_id, leader, listed=(ONE, TWO), commit_index=0):
+    """Return the answer of a member whose group has the ids m1/0, m2/0 and so on."""
+    ids = {address: f"m{number}/0" for number, address in enumerate(ADDRESSES, 1)}
+    listed = {ids[address]: address for address in listed}
+    return members.MembersReply(member_id, leader, listed, commit_index)
+
+
 @pytest.mark.parametrize(
     ("now", "target"), [(1.0, "10.0.0.2:81"), (3.0, "10.0.0.1:82"), (9.0, "")]
 )
 def test_operators_are_sent_to_the_leader_or_to_another_running_member(now, target):
     """A member that has failed is not named; without any, operators move on."""
     view = make_view()
-    view.handle_reply(TWO, "m2/0", TWO, [ONE, TWO], 0.0)
-    view.handle_reply(ONE, "m1/0", TWO, [ONE, TWO], 1.0)
+    view.handle_reply(make_reply("m2/0", TWO), 0.0)
+    view.handle_reply(make_reply("m1/0", TWO), 1.0)
     assert view.find_operator_address(now) == target
 
 
 def test_process_does_not_ask_itself_or_trust_processes_without_a_disk():
     view = make_view()
     assert view.list_addresses() == [ONE]
-    view.handle_reply(ONE, "", TWO, [], 0.0)
+    view.handle_reply(make_reply("", TWO, listed=()), 0.0)
     assert view.find_member(0.1) == ""
     assert view.list_addresses() == [TWO, ONE]
 
@@ -66,14 +75,18 @@
 
 def test_restarted_first_seed_appoints_nobody_in_an_existing_group():
     view = make_view()
-    view.handle_reply(ONE, "m1/0", ONE, [ONE], 0.1)
+    view.handle_reply(make_reply("m1/0", ONE, [ONE]), 0.1)
     assert view.appoint(TWO, 1.0) == ""
 
 
-def test_messages_are_those_of_the_complete_codec():
+@pytest.mark.parametrize("index", [0, 127, 128, 2**8, 2**16, 2**32, 2**63])
+def test_messages_are_those_of_the_complete_codec(index):
     member = Member(id="m1/0", address=ONE, voter=True, domain="a")
-    reply = codec.encode(full.MembersReply(id="m1/0", leader=ONE, members=(member,)))
-    assert messages.decode(reply)[:3] == [messages.MEMBERS_REPLY, "m1/0", ONE]
+    reply = codec.encode(full.MembersReply("m1/0", ONE, (member,), index))
+    replies = []
+    question = protocols.MembersQuestion(replies.append)
+    question.receive(pack_frame(Frame(1, FrameKind.REPLY, reply)))
+    assert replies == [make_reply("m1/0", ONE, [ONE], index)]
     for sent, expected in (
         ([messages.READ_MEMBERS], full.ReadMembers()),
         ([messages.NOT_LEADER, ONE], full.NotLeader(ONE)),
@@ -95,7 +108,7 @@
 
 def test_gateways_and_members_get_the_address_of_a_member():
     view = make_view()
-    view.handle_reply(ONE, "m1/0", ONE, [ONE], 0.0)
+    view.handle_reply(make_reply("m1/0", ONE, [ONE]), 0.0)
     calls = protocols.MemberCalls(view, lambda: 0.1)
     watch = codec.encode(full.Watch(name="g", config_version=0))
     request = pack_frame(Frame(4, FrameKind.REQUEST, watch))
@@ -111,6 +124,7 @@
         [messages.APPOINT_FOUNDER],
         [messages.APPOINT_FOUNDER, []],
         [messages.APPOINT_FOUNDER, "x"],
+        [messages.MEMBERS_REPLY, "m1/0", ONE, [], "x"],
         [[]],
     ],
 )
