--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -1,5 +1,6 @@
 """The wisteria-control program: one member of the control group."""
 
+import collections
 import contextlib
 import functools
 import random
@@ -31,7 +32,7 @@
     wait_for_appointment,
 )
 from wisteriaworks.gateway.control_watch import list_member_addresses
-from wisteriaworks.generated.messages import AppointFounder
+from wisteriaworks.generated.messages import AnnounceMember, AppointFounder
 from wisteriaworks.ingress.ingress import Ingress
 from wisteriaworks.list_reader import ListFollower, ListReader
 from wisteriaworks.log_store import LogStore
@@ -50,6 +51,7 @@
 from wisteriaworks.replica import Replica
 from wisteriaworks.rollouts.coordinator import RolloutCoordinator
 from wisteriaworks.rpc import RpcServer, split_address
+from wisteriaworks.seed_announcer import SeedAnnouncer
 from wisteriaworks.server_directory import ServerDirectory
 from wisteriaworks.settings_watch import SettingsWatch
 
@@ -57,6 +59,7 @@
 STOP_TIMEOUT_S = 10.0
 MEMBER_PATH = "/member"
 DRAIN_POLL_INTERVAL_S = 0.02
+MAX_ANNOUNCED = 12
 # Time for the connections' writer tasks to send queued replies after the last
 # handler has returned.
 FLUSH_S = 0.1
@@ -70,6 +73,10 @@
         self._ingress = ingress or Ingress(cfg.ingress)
         self._client = None
         self._settings_watch = SettingsWatch(path, cfg, self._update_seeds)
+        # Addresses of members that this one has not heard of otherwise.
+        self._announced = collections.deque(maxlen=MAX_ANNOUNCED)
+        self._announcer = None
+        self._seeds = cfg.operators.seeds if cfg.operators else ()
         self._node = ControlNode(cfg, metrics)
         self._service = ControlService(self._node)
         self._directory = ServerDirectory()
@@ -84,6 +91,7 @@
             | self._quotas.list_handlers()
         )
         handlers[AppointFounder] = decline_to_appoint
+        handlers[AnnounceMember] = self._handle_announcement
         self._rollouts = self._create_rollouts(cfg, metrics)
         if self._rollouts is not None:
             handlers |= self._rollouts.list_handlers()
@@ -178,9 +186,13 @@
             cfg.list_interval_s,
             lambda: self._node.replica.is_leader,
         )
-        client = self._client = ControlClient(self._list_addresses(self._cfg))
+        client = self._client = ControlClient(self._list_addresses())
+        self._announcer = SeedAnnouncer(
+            self._node.replica, self._cfg.address, self._list_seeds()
+        )
         async with client, trio.open_nursery() as nursery:
             nursery.start_soon(keep_running, self._settings_watch.run)
+            nursery.start_soon(keep_running, self._announcer.run)
             nursery.start_soon(keep_running, join_group, self._node, client)
             nursery.start_soon(keep_running, self._end_if_appointed)
             nursery.start_soon(keep_running, MembershipRepairer(self._node).run)
@@ -212,14 +224,29 @@
 
     def _update_seeds(self, cfg):
         if self._client is not None and cfg.operators is not None:
-            self._client.addresses = self._list_addresses(cfg)
+            self._seeds = cfg.operators.seeds
+            self._client.addresses = self._list_addresses()
+            self._announcer.seeds = self._list_seeds()
+
+    def _list_seeds(self):
+        """Return the addresses of the control processes on the hosts of the seeds."""
+        port = split_address(self._cfg.address)[1]
+        return list_member_addresses(self._seeds, port)
 
-    def _list_addresses(self, cfg):
+    def _list_addresses(self):
         """Return the addresses of this member, the known members and the seeds."""
-        port = split_address(cfg.address)[1]
-        seeds = list_member_addresses(cfg.operators.seeds, port)
         members = [m.address for m in self._node.replica.members]
-        return tuple(dict.fromkeys([self._cfg.address, *members, *seeds]))
+        known = (self._cfg.address, *members, *self._announced, *self._list_seeds())
+        return tuple(dict.fromkeys(known))
+
+    async def _handle_announcement(self, message, send):
+        """Use the address of another member, unless this one knows its group."""
+        is_outside = self._node.replica.leader_address is None
+        if is_outside and message.address not in self._announced:
+            self._announced.append(message.address)
+            if self._client is not None:
+                self._client.addresses = self._list_addresses()
+        return await self._operator_commands.read_members(message, send)
 
     def _update_server_list(self, servers, read_at):
         if self._directory.replace(servers, trio.current_time(), read_at):
--- a/src/wisteriaworks/operator_commands.py
+++ b/src/wisteriaworks/operator_commands.py
@@ -207,7 +207,7 @@
             OrderDomain: self._set_domain_state,
             ReadTicket: self._read_ticket,
             Watch: self._watch,
-            ReadMembers: self._read_members,
+            ReadMembers: self.read_members,
         }
 
     @property
@@ -330,7 +330,8 @@
         machine = self._node.machine
         return SourceReply(version=machine.version, source=machine.source)
 
-    async def _read_members(self, message, send):
+    async def read_members(self, message, send):
+        """Answer with the member list, whether or not this member leads."""
         replica = self._node.replica
         return MembersReply(
             id=replica.id,
--- a/src/wisteriaworks/redirect/members.py
+++ b/src/wisteriaworks/redirect/members.py
@@ -1,7 +1,9 @@
 """Keep what a control process without a disk knows of the members. No I/O.
 
 Load pattern: the platform starts the processes of a new system in any order, and
-members fail, move or are replaced while operators call.
+members fail, move or are replaced while operators call. After a loss of power all
+processes without a disk start again and know nothing, until members announce
+themselves.
 """
 
 import itertools
@@ -14,7 +16,7 @@
 RECENT_ANSWER_S = 2.5
 # Processes that are asked in one interval.
 ASKED_AT_ONCE = 6
-# Addresses that others named, but are not those of listed members.
+# Addresses that were announced or named, but are not those of listed members.
 MAX_CANDIDATES = 12
 # Time for which a first seed that restarts looks for an existing group before it
 # appoints the founder of a new one.
@@ -79,7 +81,7 @@
         return leader + addresses[:count]
 
     def add_candidate(self, address):
-        """Ask a process that was named as a member."""
+        """Ask a process that was announced or named as a member."""
         if address and address != self._own_address:
             self._candidates.pop(address, None)
             self._candidates[address] = None
--- a/src/wisteriaworks/redirect/messages.py
+++ b/src/wisteriaworks/redirect/messages.py
@@ -9,6 +9,7 @@
 
 READ_MEMBERS = "ReadMembers"
 MEMBERS_REPLY = "MembersReply"
+ANNOUNCE_MEMBER = "AnnounceMember"
 APPOINT_FOUNDER = "AppointFounder"
 FOUNDER_REPLY = "FounderReply"
 NOT_LEADER = "NotLeader"
--- a/src/wisteriaworks/redirect/protocols.py
+++ b/src/wisteriaworks/redirect/protocols.py
@@ -133,6 +133,9 @@
             case messages.READ_MEMBERS:
                 # The empty id tells that this process is no member.
                 return [messages.MEMBERS_REPLY, "", view.name_member(now), []]
+            case messages.ANNOUNCE_MEMBER:
+                view.add_candidate(_check_address(messages.decode(payload)[1]))
+                return [messages.MEMBERS_REPLY, "", view.name_member(now), []]
             case messages.APPOINT_FOUNDER:
                 address = _check_address(messages.decode(payload)[1])
                 return [messages.FOUNDER_REPLY, view.appoint(address, now)]
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -192,7 +192,7 @@
         for host in self.hosts:
             await self.start_control(host, found=True)
         for number in range(len(self._gateway_ports) // 2):
-            await self._start_gateway(number)
+            await self.start_gateway(number)
 
     async def start_servers(self):
         """Start the servers and the platform's list."""
@@ -259,7 +259,8 @@
             budget=BudgetSettings(retry_ratio=1.0, slack=100.0),
         )
 
-    async def _start_gateway(self, number):
+    async def start_gateway(self, number):
+        """Start one gateway."""
         program = GatewayProgram(self.make_gateway_settings(number))
         await self._nursery.start(program.run)
         self.gateways.append(program)
--- a/tests/platform_adapter/test_member_view.py
+++ b/tests/platform_adapter/test_member_view.py
@@ -12,12 +12,40 @@
     make_view,
 )
 
-from wisteriaworks.redirect import members
+from wisteriaworks import codec
+from wisteriaworks.framing import Frame, FrameKind, FrameReader, pack_frame
+from wisteriaworks.generated import messages as full
+from wisteriaworks.redirect import members, protocols
 
 # Another group, whose member has an address of its own.
 OTHER = members.MembersReply("x/9", "10.0.0.7:70", {"x/9": "10.0.0.7:70"}, 999)
 
 
+def announce(view, address):
+    payload = codec.encode(full.AnnounceMember(address))
+    calls = protocols.MemberCalls(view, lambda: 0.0)
+    frames = calls.receive(pack_frame(Frame(3, FrameKind.REQUEST, payload)))
+    reply, _ = FrameReader().feed(frames)
+    return codec.decode(reply.payload)
+
+
+def test_announced_member_is_asked_and_named_only_after_its_answer():
+    """A process that has started again knew no member, and nobody told it of one."""
+    view = make_view(found=False, seeds=(LISTEN,))
+    assert announce(view, TWO) == full.MembersReply("", "", ())
+    assert view.list_addresses() == [TWO]
+    assert view.name_member(0.0) == ""
+    view.handle_reply(make_reply("m2/0", ONE), 0.0)
+    assert announce(view, TWO) == full.MembersReply("", TWO, ())
+
+
+def test_announced_member_prevents_a_second_group():
+    """A first seed that starts again during the founding knows no founder."""
+    view = make_view()
+    announce(view, TWO)
+    assert view.appoint(ONE, 1.0) == ""
+
+
 def test_seeds_of_later_settings_appoint_nobody():
     """A second founder would be appointed if the seeds change during the founding."""
     view = make_view(seeds=SEEDS[::-1])
--- a/tests/platform_adapter/test_redirect.py
+++ b/tests/platform_adapter/test_redirect.py
@@ -89,6 +89,7 @@
     assert replies == [make_reply("m1/0", ONE, [ONE], index)]
     for sent, expected in (
         ([messages.READ_MEMBERS], full.ReadMembers()),
+        ([messages.ANNOUNCE_MEMBER, ONE], full.AnnounceMember(ONE)),
         ([messages.NOT_LEADER, ONE], full.NotLeader(ONE)),
         ([messages.FOUNDER_REPLY, ONE], full.FounderReply(ONE)),
         ([messages.MEMBERS_REPLY, "", ONE, []], full.MembersReply("", ONE, ())),
@@ -124,6 +125,8 @@
         [messages.APPOINT_FOUNDER],
         [messages.APPOINT_FOUNDER, []],
         [messages.APPOINT_FOUNDER, "x"],
+        [messages.ANNOUNCE_MEMBER],
+        [messages.ANNOUNCE_MEMBER, "x"],
         [messages.MEMBERS_REPLY, "m1/0", ONE, [], "x"],
         [[]],
     ],
@@ -177,6 +180,7 @@
 
     domains = "aabbccdd"
     without_disk = 0
+    tolerated_losses = 2
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
@@ -186,7 +190,9 @@
 
     def make_control_settings(self, host, found=False):
         cfg = super().make_control_settings(host, found)
-        operators = msgspec.structs.replace(cfg.operators, tolerated_losses=2)
+        operators = msgspec.structs.replace(
+            cfg.operators, tolerated_losses=self.tolerated_losses
+        )
         domain = self.domains[self.hosts.index(host)]
         return msgspec.structs.replace(cfg, domain=domain, operators=operators)
 
