Settings templates without sections

Change: one placeholder, platform_bounds, has all limits of the platform. platform/bounds.py translates them into the sections budget, accounts, quotas and rollouts when settings are read, also at a reload. As before, a section is left out if the platform does not have its main limit.

--- a/src/wisteriaworks/settings.py
+++ b/src/wisteriaworks/settings.py
@@ -6,19 +6,20 @@
 import yaml
 
 from wisteriaworks.errors import SettingsError
+from wisteriaworks.platform.bounds import translate_bounds
 
 
 def decode_yaml(text, struct_type):
     """Decode YAML text into the data class ``struct_type``.
 
-    Raises msgspec.ValidationError, whose message has the path of the field, or
-    msgspec.DecodeError.
+    Limits in the form of a platform are translated. Raises msgspec.ValidationError,
+    whose message has the path of the field, or msgspec.DecodeError.
     """
     try:
         data = yaml.safe_load(text)
     except (yaml.YAMLError, RecursionError) as exc:
         raise msgspec.DecodeError(f"not valid YAML: {exc}") from exc
-    return msgspec.convert(data, struct_type, strict=True)
+    return msgspec.convert(translate_bounds(data), struct_type, strict=True)
 
 
 def load_settings(path, struct_type):
--- a/tests/platform_adapter/test_templates.py
+++ b/tests/platform_adapter/test_templates.py
@@ -8,10 +8,18 @@
 import re
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from wisteriaworks.document_checks import is_valid_address
-from wisteriaworks.generated.settings import ControlSettings, GatewaySettings
+from wisteriaworks.generated.settings import (
+    AccountSettings,
+    BudgetSettings,
+    ControlSettings,
+    GatewaySettings,
+    QuotaSettings,
+    RolloutSettings,
+)
 from wisteriaworks.redirect.process import read_settings
 from wisteriaworks.settings import decode_yaml
 
@@ -54,6 +62,9 @@
     "exposureSlack": 50,
     "rollbackMs": 5000,
 }
+BUDGET = BudgetSettings(
+    retry_ratio=0.2, window_s=10.0, slack=58.0, cold_burst=1.5, cold_slack=5.0
+)
 WITHOUT_DISK = {name: value for name, value in FIELDS.items() if name != "dataDir"}
 WITH_BOUNDS = FIELDS | {"bounds": FIELDS["bounds"] | BOUNDS}
 
@@ -100,6 +111,48 @@
     assert all(is_valid_address(address) for address in listening if address)
 
 
+def load(name, kind, fields):
+    return decode_yaml(fill((DEPLOY / f"{name}.yaml").read_text(), fields), kind)
+
+
+def test_limits_of_the_platform_reach_the_settings():
+    """A limit that is lost on the way would be replaced by a default."""
+    gateway = load("gateway", GatewaySettings, WITH_BOUNDS)
+    assert gateway.budget == BUDGET
+    assert gateway.accounts == AccountSettings(fail_closed=True, revoke_ms=5000)
+    assert gateway.quotas == QuotaSettings(window_s=5.0, overage=0.1, slack=20.0)
+    assert gateway.rollouts == RolloutSettings(
+        exposure_share=0.1, exposure_slack=50.0, rollback_ms=5000
+    )
+    operators = load("control", ControlSettings, WITH_BOUNDS).operators
+    assert operators.quotas == gateway.quotas
+    assert operators.rollouts == gateway.rollouts
+
+
+def test_platform_without_accounts_quotas_and_rollouts():
+    gateway = load("gateway", GatewaySettings, FIELDS)
+    assert gateway.budget == BUDGET
+    assert gateway.accounts == AccountSettings()
+    operators = load("control", ControlSettings, FIELDS).operators
+    assert [gateway.quotas, gateway.rollouts] == [None, None]
+    assert [operators.quotas, operators.rollouts] == [None, None]
+
+
+@pytest.mark.parametrize("bounds", [{"revokeMs": "5000"}, {"budgetSlack": []}, 3])
+def test_limit_of_another_type_is_a_settings_error(bounds):
+    with pytest.raises(msgspec.ValidationError):
+        load("gateway", GatewaySettings, FIELDS | {"bounds": bounds})
+
+
+@pytest.mark.parametrize("name", ["gateway", "control"])
+def test_templates_have_plain_placeholders_only(name):
+    """The stand-ins of the reviews know no sections, and started no program."""
+    text = (DEPLOY / f"{name}.yaml").read_text()
+    placeholders = re.findall(r"\{\{(.*?)\}\}", text)
+    assert placeholders
+    assert all(re.fullmatch(r"[\w.]+(\|json)?", p) for p in placeholders)
+
+
 @pytest.mark.parametrize("fields", [FIELDS, WITHOUT_DISK])
 def test_control_without_a_disk_is_no_member(tmp_path, fields):
     path = tmp_path / "settings.yaml"
