--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -249,7 +249,8 @@
         return await self._operator_commands.read_members(message, send)
 
     def _update_server_list(self, servers, read_at):
-        if self._directory.replace(servers, trio.current_time(), read_at):
+        services = self._node.machine.document.services
+        if self._directory.replace(servers, trio.current_time(), read_at, services):
             self._operator_commands.notify()
 
     def _render_page(self, path):
--- a/src/wisteriaworks/gateway/gateway_state.py
+++ b/src/wisteriaworks/gateway/gateway_state.py
@@ -12,6 +12,7 @@
 from wisteriaworks.gateway.server_lists import ServerLists
 from wisteriaworks.gateway.server_table import make_known_servers
 from wisteriaworks.generated.document import Document
+from wisteriaworks.server_entries import select_entries
 
 
 class GatewayState:
@@ -86,7 +87,9 @@
 
         ``read_at`` is the boot time at which its reading began.
         """
-        servers = make_known_servers(entries, trio.current_time())
+        known = {id: s.entry for id, s in self._lists.current.servers.items()}
+        selected = select_entries(entries, self.routes.document.services, known)
+        servers = make_known_servers(selected.values(), trio.current_time())
         if not self._lists.add_direct_list(servers, read_at):
             self._log_outdated_list("platform", read_at)
             return
--- a/src/wisteriaworks/server_directory.py
+++ b/src/wisteriaworks/server_directory.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from wisteriaworks.generated.messages import ListedServer
+from wisteriaworks.server_entries import select_entries
 
 # Receivers count the remaining time of a cold start down themselves, so a difference
 # up to this is not a change.
@@ -39,13 +40,17 @@
         self._records = {}
         self._removed = {}
 
-    def replace(self, entries, now, read_at):
-        """Replace the list and return whether any server changed."""
+    def replace(self, entries, now, read_at, services=frozenset()):
+        """Replace the list and return whether any server changed.
+
+        ``services`` are those that the configuration names.
+        """
         before = self.revision
         self.read_at = read_at
         if before == 0:
             self.revision = 1
-        by_id = {entry.id: entry for entry in entries}
+        known = {server_id: r.entry for server_id, r in self._records.items()}
+        by_id = select_entries(entries, services, known)
         for server_id in self._records.keys() - by_id.keys():
             del self._records[server_id]
             self.revision += 1
--- a/tests/gateway/test_server_lists.py
+++ b/tests/gateway/test_server_lists.py
@@ -4,10 +4,11 @@
 import random
 
 import pytest
-from gateway_fakes import make_entry, make_fleet
+from gateway_fakes import make_document, make_entry, make_fleet, make_route
 from test_control_watch import make_update
 
 from wisteriaworks.clocks import read_boot_time
+from wisteriaworks.document_codec import pack_document
 from wisteriaworks.gateway.gateway_state import GatewayState
 from wisteriaworks.gateway.server_lists import ServerLists
 
@@ -105,3 +106,13 @@
         newest = max(newest, read_at)
         assert lists.current.read_at == newest
         assert set(lists.current.servers.values()) == {newest}
+
+
+async def test_entry_of_another_writer_in_a_direct_list_takes_no_servers_place():
+    """The leader selects the entries of its list; without it the gateway does."""
+    state = make_state()
+    document = pack_document(make_document(make_route()))
+    state.apply_update(make_update(1, config_version=1, document=document))
+    entries = [make_entry("i1", service="s"), make_entry("i1", service="x")]
+    state.apply_direct_list(entries, read_boot_time())
+    assert list_usable(state) == {"i1"}
