Ignore announced addresses that cannot be called

What was seen: by reading only. A member without a leader calls each announced address, and a text that is no address raises an error in the task that asks for admission, which would begin anew and fail each time.

Change: an address is used only if it is an IP address and a port. Seeds are visited in their order.

Evidence: the new test fails without the check.

--- a/src/wisteriaworks/control.py
+++ b/src/wisteriaworks/control.py
@@ -18,6 +18,7 @@
 from wisteriaworks.control_client import ControlClient
 from wisteriaworks.control_node import ControlNode
 from wisteriaworks.control_service import ControlService
+from wisteriaworks.document_checks import is_valid_address
 from wisteriaworks.errors import (
     ProposalOutcomeUnknownError,
     SettingsError,
@@ -242,7 +243,8 @@
     async def _handle_announcement(self, message, send):
         """Use the address of another member, unless this one knows its group."""
         is_outside = self._node.replica.leader_address is None
-        if is_outside and message.address not in self._announced:
+        is_usable = is_valid_address(message.address)
+        if is_outside and is_usable and message.address not in self._announced:
             self._announced.append(message.address)
             if self._client is not None:
                 self._client.addresses = self._list_addresses()
--- a/src/wisteriaworks/seed_announcer.py
+++ b/src/wisteriaworks/seed_announcer.py
@@ -36,9 +36,10 @@
         self._announced_to.clear()
         async with trio.open_nursery() as nursery:
             while True:
-                for seed in {*self.seeds} - {self._address} - self._announced_to:
-                    self._announced_to.add(seed)
-                    nursery.start_soon(self._announce_to, seed)
+                for seed in self.seeds:
+                    if seed != self._address and seed not in self._announced_to:
+                        self._announced_to.add(seed)
+                        nursery.start_soon(self._announce_to, seed)
                 await trio.sleep(RETRY_S)
 
     async def _announce_to(self, seed):
--- a/tests/platform_adapter/test_seeds_without_disk.py
+++ b/tests/platform_adapter/test_seeds_without_disk.py
@@ -6,6 +6,8 @@
 from test_gateway_system import make_configuration
 from test_redirect import VotersSystem
 
+from wisteriaworks.generated.messages import AnnounceMember
+
 WITHOUT_DISK = 3
 
 
@@ -112,6 +114,21 @@
     await system.assert_new_gateway_is_served()
 
 
+async def test_announced_address_that_cannot_be_called_is_not_used(system):
+    """A member that asks it for admission would stop to look for its group."""
+    program = system.control[system.member_hosts[0]].program
+    system.stop_control(system.member_hosts[1])
+    system.stop_control(system.member_hosts[2])
+
+    async def knows_no_leader():
+        return program.node.replica.leader_address is None
+
+    await system.wait_until(knows_no_leader)
+    for address in ("x", "127.0.0.9:99999", "127.0.0.9:1"):
+        await program._handle_announcement(AnnounceMember(address), None)
+    assert set(program._announced) == {"127.0.0.9:1"}
+
+
 async def test_one_seed_is_enough(system):
     """Two of the seeds are down for good."""
     await system.kill_all()
