--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -72,12 +72,12 @@
         self.cold.gateway_count = max(1, shares.gateway_count)
         self.cold.position = position
 
-    def set_document(self, document):
+    def set_document(self, document, now):
         """Select the services that delegates send to, and drop unknown ones."""
         self._connection_limits.clear()
         self.delegated_services = list_delegated_services(document)
-        self.budget.set_delegated_services(self.delegated_services)
-        self.budget.retain(set(document.services))
+        self.budget.set_delegated_services(self.delegated_services, now)
+        self.budget.retain(set(document.services), now)
 
     def limit_connections(self, server, document):
         """Return how many connections to a server this gateway may open, or None.
@@ -130,7 +130,7 @@
             self._pools.pop(server_id).close()
         self.fleet.stats.retain(ids)
         self.fleet.cold.retain(ids)
-        self.fleet.set_document(document)
+        self.fleet.set_document(document, trio.current_time())
 
     def get_delay_estimator(self, route):
         """Return the hedge delay estimator of a route."""
--- a/tests/balancing/test_near_gathering.py
+++ b/tests/balancing/test_near_gathering.py
@@ -92,6 +92,7 @@
 
 
 async def test_parts_from_another_domain_are_counted(system):
+    await system.wait_until_may_repeat(NEAR, SHARDS)
     for server in system.servers:
         if server.domain == "a":
             server.refuses = True
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -11,7 +11,9 @@
 from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.gateway.forwarder import Forwarder
 from wisteriaworks.gateway.model import AnswerTimes, CallerRequest, Failure
+from wisteriaworks.gateway.retry_budget import RetryBudget
 from wisteriaworks.gateway.server_table import make_known_servers
+from wisteriaworks.generated.settings import BudgetSettings
 from wisteriaworks.metrics import create_unexported_metrics
 from wisteriaworks.platform import wire
 
@@ -106,6 +108,8 @@
     requests = []
     forwarder = Forwarder(make_settings(), wire, nursery, create_unexported_metrics())
     forwarder.check_key = lambda request: failure if requests else None
+    # A gateway that has just started may not repeat yet.
+    forwarder.fleet.budget = RetryBudget(BudgetSettings(), trio.current_time() - 60.0)
     addresses = [await start_silent_server(nursery, requests) for _ in range(2)]
     entries = [make_entry(f"i{n}", address=a) for n, a in enumerate(addresses)]
     forwarder.fleet.table.assign(make_known_servers(entries, trio.current_time()))
--- a/tests/gateway/test_load_patterns.py
+++ b/tests/gateway/test_load_patterns.py
@@ -81,17 +81,17 @@
     [
         # Scores: now 0.992; with early hedges 0.989.
         pytest.param(STALLS, 0.991, id="stalls"),
-        # Scores: now 0.972; with early hedges 0.965.
+        # Scores: now 0.974; with early hedges 0.965.
         pytest.param(SLOW_SERVERS, 0.969, id="slow servers"),
-        # Scores: now 0.914; with early hedges 0.890.
+        # Scores: now 0.933; with early hedges 0.890.
         pytest.param(ONE_SLOW_IN_EACH_SHARD, 0.90, id="one slow in each shard"),
-        # Scores: now 0.986; with early hedges 0.946.
+        # Scores: now 0.985; with early hedges 0.946.
         pytest.param(MANY_GATEWAYS, 0.97, id="many gateways"),
-        # Scores: now 0.920; with equal shares of 200 gateways 0.068.
+        # Scores: now 0.872; with equal shares of 200 gateways 0.068.
         pytest.param(DELEGATES, 0.85, id="delegates"),
-        # Scores: now 0.987; with hedges at two fifths of the objective 0.934.
+        # Scores: now 0.989; with hedges at two fifths of the objective 0.934.
         pytest.param(SHORT_OBJECTIVE, 0.96, id="short objective"),
-        # Scores: now 0.749; with one send to each server 0.699.
+        # Scores: now 0.817; with one send to each server 0.699.
         pytest.param(LOST_ANSWERS, 0.72, id="lost answers"),
     ],
 )
--- a/tests/platform_adapter/platform_stand_in.py
+++ b/tests/platform_adapter/platform_stand_in.py
@@ -309,6 +309,16 @@
             while not await is_met():
                 await trio.sleep(0.05)
 
+    async def wait_until_may_repeat(self, gateway, services):
+        """Wait until a gateway that has started may repeat sends to services."""
+        budget = self.gateways[gateway].app._forwarder.fleet.budget
+
+        async def may_repeat():
+            now = trio.current_time()
+            return all(budget.may_repeat(name, now) for name in services)
+
+        await self.wait_until(may_repeat)
+
     def find_leader(self):
         """Return the host of the member that leads, or None."""
         return next(
