Let new shards begin with the credit of their own share

What callers saw: with delegates, after the index was cut into other shards, the delegates had almost no credit for the new shards, so hedges were denied for seconds.

Cause: a service that becomes a shard kept the credit of the share that it had before, so that two roles cannot spend the same slack. That is not needed for a service to which no route led: nothing was sent to it.

Change: only services on routes of the configuration before keep the credit of their former share.

Evidence: test_service_keeps_its_credit_when_it_becomes_a_shard, for a service on a route and for another one; the second case fails without the change.

--- a/src/wisteriaworks/gateway/fleet_shares.py
+++ b/src/wisteriaworks/gateway/fleet_shares.py
@@ -6,6 +6,7 @@
 parts of the delegates while 97 of 100 repeats stay unused. No I/O.
 """
 
+import itertools
 import math
 from dataclasses import dataclass
 from enum import Enum
@@ -34,6 +35,13 @@
     )
 
 
+def list_routed_services(document):
+    """Return the services to which routes lead."""
+    shares = (share.service for route in document.routes for share in route.services)
+    shards = (service for route in document.routes for service in route.shards)
+    return frozenset(itertools.chain(shares, shards))
+
+
 class Role(Enum):
     """Name the roles of gateways in queries to many shards."""
 
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -16,7 +16,11 @@
 from wisteriaworks.events import Event, log_event
 from wisteriaworks.gateway.cold_limit import ColdLimit
 from wisteriaworks.gateway.fetch import Fetch, FetchPolicy
-from wisteriaworks.gateway.fleet_shares import FleetShares, list_delegated_services
+from wisteriaworks.gateway.fleet_shares import (
+    FleetShares,
+    list_delegated_services,
+    list_routed_services,
+)
 from wisteriaworks.gateway.group_query import GroupQuery
 from wisteriaworks.gateway.hedge_delay import HedgeDelayEstimator
 from wisteriaworks.gateway.model import Failed, Failure, name_outcome
@@ -77,7 +81,7 @@
         self._connection_limits.clear()
         self.delegated_services = list_delegated_services(document)
         self.budget.set_delegated_services(self.delegated_services, now)
-        self.budget.retain(set(document.services), now)
+        self.budget.retain(set(document.services), list_routed_services(document), now)
 
     def limit_connections(self, server, document):
         """Return how many connections to a server this gateway may open, or None.
--- a/src/wisteriaworks/gateway/retry_budget.py
+++ b/src/wisteriaworks/gateway/retry_budget.py
@@ -111,8 +111,8 @@
         self._services = {}
         self._shares = FleetShares()
         self._delegated = frozenset()
-        # Services of the configuration in force.
-        self._named = frozenset()
+        # Services to which the routes of the configuration in force lead.
+        self._routed = frozenset()
         # Time since which the credits of services without requests have grown, and
         # later times for some of them.
         self._grows_since = now
@@ -128,8 +128,9 @@
     def set_delegated_services(self, services, now):
         """Replace the set of services to which the delegates send most requests."""
         if services != self._delegated:
-            # What they have earned so far is that of the former share.
-            for name in (services ^ self._delegated) & self._named:
+            # Services on routes have earned by the former share so far. The others
+            # have had no repeats, so the new share applies to them from the start.
+            for name in (services ^ self._delegated) & self._routed:
                 self._get_or_create(name)
             self._update_credits(now)
             self._delegated = services
@@ -159,8 +160,8 @@
         budget.repeats.add(now)
         budget.credit -= 1.0
 
-    def retain(self, services, now):
-        """Drop the counts of all other services."""
+    def retain(self, services, routed, now):
+        """Drop the counts of all other services; routes lead to the ``routed`` ones."""
         dropped = self._services.keys() - services
         for name in dropped:
             del self._services[name]
@@ -171,7 +172,7 @@
             for name, at in (self._grows_later | dict.fromkeys(dropped, now)).items()
             if at > recent_from
         }
-        self._named = frozenset(services)
+        self._routed = frozenset(routed)
 
     def _update_credits(self, now):
         for service, budget in self._services.items():
