Log groups of shards that change hands between gateways

The hypotheses of docs/incidents/attempts-of-several-gateways.md could not be told apart: no line showed that a group had gone to another gateway, nor how many servers the former one had used by then.

Event 712 is written by the gateway that asked a delegate, with the cause and the number of gateways tried; event 713 by a delegate whose group is cancelled, with the most servers that it used for a shard. A metric counts the causes. No decision changes.

--- a/src/wisteriaworks/events.py
+++ b/src/wisteriaworks/events.py
@@ -112,6 +112,12 @@
     LIST_OUTDATED = _Spec(
         711, "INFO", "a list of servers is not used: its reading began earlier"
     )
+    GROUP_HANDED_ON = _Spec(
+        712, "INFO", "group of shards goes from one gateway to the next"
+    )
+    GROUP_CANCELLED = _Spec(
+        713, "INFO", "group of shards cancelled by the gateway that asked for it"
+    )
     KEYS_CONFIRMED = _Spec(
         720, "INFO", "configuration confirmed: requests with keys are served"
     )
--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -239,6 +239,9 @@
                 message.positions,
                 message.earlier,
                 lambda progress: send(_make_reply(progress, now)),
+                lambda servers_used: self._log.record_group_cancelled(
+                    query, servers_used, now
+                ),
             )
         finally:
             self.running -= 1
--- a/src/wisteriaworks/gateway/fetch.py
+++ b/src/wisteriaworks/gateway/fetch.py
@@ -124,6 +124,11 @@
         """Return whether a send has no outcome yet."""
         return bool(self._running)
 
+    @property
+    def servers_used(self):
+        """Return how many servers the request may have reached."""
+        return len(self._reached)
+
     @property
     def has_part(self):
         """Return whether a server has answered with a success."""
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -42,6 +42,10 @@
 RUN_ID_BITS = 62
 
 
+def _ignore_servers_used(count):
+    pass
+
+
 @dataclass(slots=True)
 class ServerFleet:
     """Store the known servers, their statistics and the limits on sends."""
@@ -170,11 +174,14 @@
         query = Query(route, fetches, times)
         return await QueryRun(self, request, route, query, times, document).run()
 
-    async def run_group(self, query, positions, earlier, on_progress):
+    async def run_group(
+        self, query, positions, earlier, on_progress, on_cancelled=_ignore_servers_used
+    ):
         """Return the final GroupProgress of some shards of a ShardQuery.
 
         ``on_progress`` is called with the progress once the query is due, and with
         each part after that. ``earlier`` is the EarlierRun at another gateway.
+        ``on_cancelled`` is called with the most servers used for any shard.
         """
         route, document = query.route, query.document
         services = [route.shards[position] for position in positions]
@@ -183,7 +190,11 @@
         run = QueryRun(
             self, query.request, route, group, query.times, document, on_progress
         )
-        return await run.run()
+        try:
+            return await run.run()
+        except trio.Cancelled:
+            on_cancelled(max(fetch.servers_used for fetch in fetches.values()))
+            raise
 
     def _make_fetches(self, route, services, document, times, earlier=EarlierRun.NONE):
         now = trio.current_time()
--- a/src/wisteriaworks/gateway/gather_run.py
+++ b/src/wisteriaworks/gateway/gather_run.py
@@ -1,6 +1,7 @@
 """Run a query to many shards at several gateways and combine what they gather."""
 
 import functools
+from enum import Enum
 
 import trio
 
@@ -14,12 +15,21 @@
 MAX_DELEGATES_TRIED = 3
 
 
+class HandOnCause(Enum):
+    """Name the reasons why a group goes from one delegate to the next."""
+
+    DECLINED = "declined"
+    NOT_ACCEPTED = "not_accepted"
+    LOST = "lost"
+
+
 class Gatherer:
     """Run queries to many shards at the delegates near the servers."""
 
-    def __init__(self, delegates, forwarder):
+    def __init__(self, delegates, forwarder, log):
         self.delegates = delegates
         self.forwarder = forwarder
+        self.log = log
         self._planner = GroupPlanner(forwarder.fleet.table)
 
     async def run(self, query):
@@ -87,6 +97,7 @@
         shards = [route.shards[position] for position in group.positions]
         delegate, excluded, earlier = placement.delegate, [], EarlierRun.NONE
         while delegate is not None and len(excluded) < MAX_DELEGATES_TRIED:
+            asked_at, cause = trio.current_time(), HandOnCause.DECLINED
             try:
                 if await gatherer.delegates.ask(
                     delegate,
@@ -101,6 +112,7 @@
                 if not gatherer.can_hand_on(route, shards):
                     self._fail(number, f"{delegate.name}: not accepted")
                     return
+                cause = HandOnCause.NOT_ACCEPTED
                 if earlier is EarlierRun.NONE:
                     earlier = EarlierRun.NOT_ACCEPTED
             except DelegateLostError as exc:
@@ -108,8 +120,12 @@
                 if is_late or not gatherer.can_run_again(route, shards):
                     self._fail(number, str(exc))
                     return
+                cause = HandOnCause.LOST
                 earlier = EarlierRun.ACCEPTED
             excluded.append(delegate.name)
+            gatherer.log.record_handed_on(
+                query, delegate, cause.value, len(excluded), asked_at
+            )
             delegate = gatherer.delegates.selector.choose(
                 route, group.domain, trio.current_time(), excluded
             )
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -91,7 +91,7 @@
                 selector, forwarder.return_time, nursery, forwarder.traffic
             )
             state.on_delegates = delegates.set_delegates
-            gatherer = Gatherer(delegates, forwarder)
+            gatherer = Gatherer(delegates, forwarder, log)
             accounts = self._make_account_gate(state, forwarder, metrics)
             self._quotas = self._make_quotas(state, metrics)
             self.app = self._make_app(
--- a/src/wisteriaworks/gateway/request_log.py
+++ b/src/wisteriaworks/gateway/request_log.py
@@ -35,6 +35,10 @@
         self._missing = metrics.create_counter(
             "wisteria.gateway.shards.missing", "Shards missing from answers by route"
         )
+        self._handed_on = metrics.create_counter(
+            "wisteria.gateway.groups.handed.on",
+            "Groups of shards that went to the next gateway, by cause",
+        )
 
     async def run(self):
         """Log the number of lines that were left out, every second."""
@@ -89,6 +93,29 @@
         self._count(route, "caller_gone", "", arrived_at)
         self._write(Event.CALLER_GONE, route, request, arrived_at)
 
+    def record_handed_on(self, query, delegate, cause, tried, asked_at):
+        """Record that a group goes to the next gateway, ``tried`` gateways in all."""
+        self._handed_on.add(1, {"cause": cause})
+        self._write(
+            Event.GROUP_HANDED_ON,
+            query.route,
+            query.request,
+            asked_at,
+            delegate=delegate.name,
+            cause=cause,
+            tried=tried,
+        )
+
+    def record_group_cancelled(self, query, servers_used, arrived_at):
+        """Record a cancelled group; ``servers_used`` is the most of any shard."""
+        self._write(
+            Event.GROUP_CANCELLED,
+            query.route,
+            query.request,
+            arrived_at,
+            servers_used=servers_used,
+        )
+
     def _write(self, event, route, request, arrived_at, missing=None, **fields):
         if not self._limiter.admit(event.value.number, trio.current_time()):
             return
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -81,6 +81,22 @@
     assert (line["event"], line["kind"]) == (706, "no_configuration")
 
 
+async def test_group_that_changes_hands_is_logged_at_both_gateways(harness):
+    """Sends of two gateways for one request could not be told apart from repeats."""
+    query = SimpleNamespace(route=ROUTE, request=harness.make_request())
+    delegate = SimpleNamespace(name="g2")
+    asked_at = trio.current_time()
+    harness.log.record_handed_on(query, delegate, "not_accepted", 1, asked_at)
+    harness.log.record_group_cancelled(query, 2, asked_at)
+    handed_on, cancelled = harness.read()
+    assert handed_on["request"] == cancelled["request"] == "id1"
+    assert (handed_on["event"], cancelled["event"]) == (712, 713)
+    assert (handed_on["delegate"], handed_on["cause"]) == ("g2", "not_accepted")
+    assert (handed_on["tried"], cancelled["servers_used"]) == (1, 2)
+    counted = 'wisteria_gateway_groups_handed_on_total{cause="not_accepted"} 1.0'
+    assert counted in harness.metrics.render().decode()
+
+
 async def test_failures_over_the_bound_are_counted_in_a_line(harness, nursery):
     nursery.start_soon(harness.log.run)
     for number in range(3 * LINES_PER_S):
