Let delegates send only after their acceptance was confirmed

Cause: a delegate sent as soon as it had accepted a group. A gateway that had not read the acceptance within 50 ms, because the delegate, the network or the gateway itself was slow, gave the group to the next one, up to three delegates and itself. Each of them counted the attempts for itself, with one less for all delegates that might have sent. Nor did any retry budget count what a late delegate and the next one both sent, and a late delegate took the time left and the permission of the account from when it read the message.

Now the gateway confirms the acceptance, and a delegate sends nothing before. A group that goes on without a confirmation has not run, so the next gateway has all attempts, hedges included, and no repeat is left uncounted. A delegate that breaks its connection before it is confirmed costs the group nothing either; formerly its parts were lost if a shard has more servers than attempts.

--- a/src/wisteriaworks/framing.py
+++ b/src/wisteriaworks/framing.py
@@ -23,6 +23,7 @@
     PONG = 5
     GOAWAY = 6
     ERROR = 7
+    CONFIRM = 8
 
 
 class FrameError(Exception):
--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -39,6 +39,9 @@
 # Parts that are gathered for other gateways at once. A VM of 1.4 cores gathers 10,000
 # parts/s, so more than this would wait for the processor until their objectives.
 MAX_GATHERED_PARTS = 4200
+# A gateway confirms an accepted group at once. One that is frozen or cut off must not
+# keep the room of its groups.
+CONFIRM_TIMEOUT_S = 0.5
 _ERROR_KINDS = {
     UnservedReason.NO_SERVER: ErrorKind.NO_LIVE_SERVER,
     UnservedReason.REFUSED: ErrorKind.BACKEND_REFUSED,
@@ -234,6 +237,9 @@
         self.gathering_parts += size
         self.gathering_bytes += len(message.body)
         try:
+            # Without it, the gateway may have let another delegate gather the parts.
+            if message.confirms and not await _is_confirmed(send):
+                return GatheredParts(taken=False)
             progress = await self._forwarder.run_group(
                 query,
                 message.positions,
@@ -327,6 +333,13 @@
         await send({"type": "http.response.body", "body": body})
 
 
+async def _is_confirmed(call):
+    with trio.move_on_after(CONFIRM_TIMEOUT_S):
+        await call.wait_until_confirmed()
+        return True
+    return False
+
+
 async def _cancel_on_disconnect(receive, scope):
     """Cancel the work for a caller once it closes its connection."""
     await wait_for_disconnect(receive)
--- a/src/wisteriaworks/gateway/control_watch.py
+++ b/src/wisteriaworks/gateway/control_watch.py
@@ -132,6 +132,7 @@
             delegates=self._state.delegate_count,
             gathers=True,
             reads_packed=True,
+            awaits_confirmation=True,
         )
         is_followed, hint = False, ""
         reason = "it does not lead any more"
--- a/src/wisteriaworks/gateway/delegate_client.py
+++ b/src/wisteriaworks/gateway/delegate_client.py
@@ -34,7 +34,7 @@
 
 
 class NotAcceptedError(Exception):
-    """Report a delegate that did not accept a query in time."""
+    """Report a delegate that did not accept a query, so it sends nothing to servers."""
 
 
 class DelegateClient:
@@ -109,21 +109,27 @@
             wait_s = min(wait_s, MAX_WAIT_OBJECTIVES * objective_s)
         query_id = next(self._query_ids)
         self.selector.begin(delegate, query_id, len(positions), began_at)
-        has_failed, running, decline_reason = False, None, ""
+        has_failed, is_confirmed, running, decline_reason = False, False, None, ""
         try:
             channel = await self._open_channel(delegate.address)
             async with channel.stream(message, wait_s) as replies:
-                reply = await self._read_replies(
-                    delegate, replies, len(positions), began_at, on_progress
-                )
+                reply = await _read_acceptance(replies)
+                self.selector.accept(delegate)
+                if isinstance(reply, GatherAccepted):
+                    # From here on, the delegate may send requests to servers.
+                    is_confirmed = True
+                    replies.confirm()
+                    reply = await _read_parts(
+                        delegate, replies, len(positions), began_at, on_progress
+                    )
             # A delegate that declines for another reason than its load states none.
             running = reply.running if reply.taken else reply.running or None
             decline_reason = "" if reply.taken else reply.reason
         except RpcError as exc:
             has_failed = True
-            if exc.sent:
+            if is_confirmed:
                 raise DelegateLostError(f"{delegate.name}: {exc.message}") from exc
-            return False
+            raise NotAcceptedError from exc
         finally:
             now = trio.current_time()
             self.selector.end(
@@ -131,25 +137,6 @@
             )
         return reply.taken
 
-    async def _read_replies(self, delegate, replies, size, began_at, on_progress):
-        """Return the last reply."""
-        with trio.move_on_after(ACCEPT_TIMEOUT_S) as scope:
-            reply = await anext(replies, None)
-        if scope.cancelled_caught:
-            raise NotAcceptedError
-        self.selector.accept(delegate)
-        if isinstance(reply, GatherAccepted):
-            reply = await anext(replies, None)
-        while isinstance(reply, GatheredParts) and reply.taken:
-            hop_s = trio.current_time() - began_at - reply.ran_ms / 1000
-            on_progress(_read_progress(reply, size, hop_s, delegate))
-            if reply.is_final:
-                return reply
-            reply = await anext(replies, None)
-        if not isinstance(reply, GatheredParts):
-            raise DelegateLostError(f"{delegate.name}: no usable reply")
-        return reply
-
     def _read_silence(self, address):
         if address in self._unreachable:
             return math.inf
@@ -191,9 +178,36 @@
             key_id=request.key_id,
             runs_within_ms=_compute_permission_ms(request),
             may_decline=may_decline,
+            confirms=True,
         )
 
 
+async def _read_acceptance(replies):
+    """Return the first reply: GatherAccepted, or GatheredParts if declined.
+
+    Raises NotAcceptedError and RpcError.
+    """
+    with trio.move_on_after(ACCEPT_TIMEOUT_S):
+        match reply := await anext(replies, None):
+            case GatherAccepted() | GatheredParts(taken=False):
+                return reply
+    raise NotAcceptedError
+
+
+async def _read_parts(delegate, replies, size, began_at, on_progress):
+    """Report the progress of a confirmed group and return the last reply."""
+    reply = await anext(replies, None)
+    while isinstance(reply, GatheredParts) and reply.taken:
+        hop_s = trio.current_time() - began_at - reply.ran_ms / 1000
+        on_progress(_read_progress(reply, size, hop_s, delegate))
+        if reply.is_final:
+            return reply
+        reply = await anext(replies, None)
+    if not isinstance(reply, GatheredParts):
+        raise DelegateLostError(f"{delegate.name}: no usable reply")
+    return reply
+
+
 def _compute_permission_ms(request):
     """Return the time left of the account's permission; 0 if it needs none."""
     if math.isinf(request.expires_at):
--- a/src/wisteriaworks/gateway/delegation.py
+++ b/src/wisteriaworks/gateway/delegation.py
@@ -207,7 +207,7 @@
             state
             for state in self._states.values()
             if state.delegate.name != self._name
-            and state.delegate.gathers
+            and state.delegate.awaits_confirmation
             and now >= state.avoided_until
         ]
         fast = [state for state in alive if self._is_faster(state.delegate)]
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -212,8 +212,8 @@
                     cold_per_s=document.services[service].cold_per_s,
                     hedge_after_s=hedge_after_s,
                     median_s=median_s,
-                    # A gateway without power, or suspended, which does not accept
-                    # a query has most likely not sent it.
+                    # Gateways of an older version also hand on groups that were not
+                    # accepted, which have most likely not been sent.
                     is_repeat=earlier is EarlierRun.ACCEPTED,
                     prefers_near=prefers_near,
                     due_at=times.partial_at,
--- a/src/wisteriaworks/operator_commands.py
+++ b/src/wisteriaworks/operator_commands.py
@@ -174,6 +174,7 @@
         watch.link_mbps,
         is_reserve=is_reserve,
         gathers=watch.gathers,
+        awaits_confirmation=watch.awaits_confirmation,
     )
 
 
--- a/src/wisteriaworks/rpc.py
+++ b/src/wisteriaworks/rpc.py
@@ -84,6 +84,9 @@
         self._writer.put(Frame(number, FrameKind.REQUEST, payload))
         return number, receive
 
+    def confirm_call(self, number):
+        self._writer.put(Frame(number, FrameKind.CONFIRM))
+
     def finish_call(self, number):
         if self._pending_calls.pop(number, None) is not None and self.is_usable:
             self._writer.put(Frame(number, FrameKind.CANCEL))
@@ -148,10 +151,12 @@
 class _Replies:
     """Iterate over the replies to one message until the peer ends the stream."""
 
-    def __init__(self, address, receive, deadline):
+    def __init__(self, address, receive, deadline, confirm):
         self._address = address
         self._receive = receive
         self._deadline = deadline
+        # Tells the peer to go on with a call that it holds until then.
+        self.confirm = confirm
 
     def __aiter__(self):
         return self
@@ -230,7 +235,8 @@
         connection = await self._connect(deadline)
         number, receive = connection.start_call(message)
         try:
-            yield _Replies(self.address, receive, deadline)
+            confirm = functools.partial(connection.confirm_call, number)
+            yield _Replies(self.address, receive, deadline, confirm)
         finally:
             connection.finish_call(number)
 
@@ -255,6 +261,30 @@
         raise RpcError(f"cannot connect to {self.address} in time", sent=False)
 
 
+class ServedCall:
+    """Represent one call of a peer; call it to send a reply."""
+
+    def __init__(self, writer, number):
+        self._writer = writer
+        self._number = number
+        self._confirmed = trio.Event()
+        self.scope = trio.CancelScope()
+
+    def __call__(self, message):
+        payload = codec.encode(message)
+        self._writer.put(Frame(self._number, FrameKind.REPLY, payload))
+
+    def confirm(self):
+        """Let a handler go on that waits for the peer's confirmation."""
+        self._confirmed.set()
+
+    async def wait_until_confirmed(self):
+        """Wait for the peer's confirmation of a call that it has not cancelled."""
+        await self._confirmed.wait()
+        # Both may have arrived in the same read.
+        await trio.lowlevel.checkpoint_if_cancelled()
+
+
 class _ServerConnection:
     """Serve the calls of one accepted connection."""
 
@@ -294,26 +324,28 @@
     def _handle(self, frame, nursery):
         match frame.kind:
             case FrameKind.REQUEST:
-                scope = self._calls[frame.number] = trio.CancelScope()
-                nursery.start_soon(self._call, frame, scope)
+                call = ServedCall(self._writer, frame.number)
+                self._calls[frame.number] = call
+                nursery.start_soon(self._call, frame, call)
+            case FrameKind.CONFIRM if frame.number in self._calls:
+                self._calls[frame.number].confirm()
             case FrameKind.CANCEL if frame.number in self._calls:
-                self._calls[frame.number].cancel()
+                self._calls[frame.number].scope.cancel()
             case FrameKind.PING:
                 self._writer.put(Frame(0, FrameKind.PONG))
 
-    async def _call(self, frame, scope):
+    async def _call(self, frame, call):
         number = frame.number
-        with scope:
+        with call.scope:
             # The cancellation may have arrived in the same read, for example if the
             # process was suspended. Then the work has not begun.
             await trio.lowlevel.checkpoint_if_cancelled()
             try:
                 message = codec.decode(frame.payload)
                 handler = self._handlers[type(message)]
-                send = functools.partial(self._reply, number)
-                reply = await handler(message, send)
+                reply = await handler(message, call)
                 if reply is not None:
-                    send(reply)
+                    call(reply)
                 self._writer.put(Frame(number, FrameKind.END))
             except (msgspec.MsgspecError, KeyError) as exc:
                 self._send_error(
@@ -325,9 +357,6 @@
         # A peer in error may use a number twice.
         self._calls.pop(number, None)
 
-    def _reply(self, number, message):
-        self._writer.put(Frame(number, FrameKind.REPLY, codec.encode(message)))
-
     def _send_error(self, number, text):
         self._writer.put(Frame(number, FrameKind.ERROR, text.encode()))
 
@@ -336,7 +365,8 @@
     """Serve messages from other processes.
 
     ``handlers`` maps a message type to ``async handler(message, send)``, which
-    may call ``send(reply)`` any number of times and may return a final reply.
+    may call ``send(reply)`` any number of times and may return a final reply. ``send``
+    is the ServedCall.
     ``on_error`` is called with each unexpected exception of a handler.
     """
 
