Count acceptances that arrived while a gateway did not run

What callers saw: on gateways that were slow, answers came late or lacked whole groups of shards.

Cause: when the event loop has not run for longer than the time-out, the time-out and the arrived reply are handled in the same pass, and the waiting task was cancelled although the reply was there.

After a time-out the reply that has been read in that pass is now taken. test_reply_that_arrives_while_the_process_does_not_run_is_in_time failed before and passes.

--- a/src/wisteriaworks/gateway/delegate_client.py
+++ b/src/wisteriaworks/gateway/delegate_client.py
@@ -187,10 +187,9 @@
 
     Raises NotAcceptedError and RpcError.
     """
-    with trio.move_on_after(ACCEPT_TIMEOUT_S):
-        match reply := await anext(replies, None):
-            case GatherAccepted() | GatheredParts(taken=False):
-                return reply
+    match reply := await replies.receive_within(ACCEPT_TIMEOUT_S):
+        case GatherAccepted() | GatheredParts(taken=False):
+            return reply
     raise NotAcceptedError
 
 
--- a/src/wisteriaworks/rpc.py
+++ b/src/wisteriaworks/rpc.py
@@ -162,7 +162,24 @@
         return self
 
     async def __anext__(self):
-        frame = await self._next_frame()
+        return self._read(await self._next_frame())
+
+    async def receive_within(self, timeout_s):
+        """Return the next reply, or None if it has not arrived in time.
+
+        The time counts only while this process runs.
+        """
+        with trio.move_on_after(timeout_s):
+            return await anext(self, None)
+        # If the process did not run, the timeout and the arrival are seen at once. The
+        # connection reads before this task goes on.
+        await trio.lowlevel.checkpoint()
+        try:
+            return self._read(self._receive.receive_nowait())
+        except (trio.WouldBlock, trio.EndOfChannel, StopAsyncIteration):
+            return None
+
+    def _read(self, frame):
         match frame.kind:
             case FrameKind.END:
                 raise StopAsyncIteration
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -1,6 +1,7 @@
 """Guard against calls that get a wrong reply, are lost or never end."""
 
 import functools
+import time
 
 import pytest
 import trio
@@ -51,6 +52,60 @@
     return NotLeader(leader=message.batch_id)
 
 
+async def test_reply_that_arrives_while_the_process_does_not_run_is_in_time(
+    start_server,
+):
+    """A slow gateway gave up delegates that had answered it at once."""
+
+    async def reply_and_block(message, send):
+        send(NotLeader(leader="replied"))
+        # The reply is written in this pass of the event loop.
+        await trio.lowlevel.checkpoint()
+        time.sleep(0.6)
+        await trio.sleep_forever()
+
+    _, channel = await start_server({ReadStatus: reply_and_block})
+    async with channel, channel.stream(ReadStatus(), 5.0) as replies:
+        reply = await replies.receive_within(0.5)
+    assert reply == NotLeader(leader="replied")
+
+
+async def test_missing_reply_is_not_waited_for(start_server):
+    async def never_reply(message, send):
+        await trio.sleep_forever()
+
+    _, channel = await start_server({ReadStatus: never_reply})
+    async with channel, channel.stream(ReadStatus(), 60.0) as replies:
+        with trio.fail_after(10):
+            assert await replies.receive_within(0.01) is None
+
+
+async def test_call_is_held_until_it_is_confirmed(start_server):
+    """A cancellation in the same read as the confirmation must end the call."""
+    confirmed = []
+
+    async def hold(message, send):
+        send(NotLeader(leader="held"))
+        await send.wait_until_confirmed()
+        confirmed.append(message.batch_id)
+        return NotLeader(leader="confirmed")
+
+    _, channel = await start_server({CancelAttempts: hold})
+    async with channel:
+        for name, is_confirmed in (("never", False), ("crossed", True)):
+            message = CancelAttempts(batch_id=name, attempts=())
+            async with channel.stream(message, 2.0) as replies:
+                assert (await anext(replies)).leader == "held"
+                if is_confirmed:
+                    replies.confirm()
+        message = CancelAttempts(batch_id="last", attempts=())
+        async with channel.stream(message, 2.0) as replies:
+            await anext(replies)
+            replies.confirm()
+            assert (await anext(replies)).leader == "confirmed"
+    assert confirmed == ["last"]
+
+
 async def test_replies_out_of_order_reach_their_own_calls(start_server):
     _, channel = await start_server({CancelAttempts: _echo_later})
     replies = {}
