Run a lost delegate's group again only with equal lists of servers

What callers' requests did: a group whose delegate was lost ran again, and used 3 servers of a shard whose route allows 2.

Cause: the gateway ran it again if no shard had more servers than attempts by its own list. The lost delegate, or the next one, may have had another list, as after a loss of control, while servers leave and join.

A delegate now states a digest of the servers of the group's shards with its acceptance and sends to no others. The group runs again only if the own digest is equal and no shard has more servers than attempts; the next delegate takes it only with an equal digest. So all of them use the same servers, which are no more than the attempts.

Evidence: two tests of test_limits_over_gateways.py with different lists failed before (3 of 2 servers) and pass; test_group_of_a_lost_delegate_runs_again_where_attempts_allow_it passed before and passes.

--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -10,7 +10,12 @@
 from wisteriaworks.balancing.distance import LOADED
 from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.errors import ERROR_RESPONSES, ErrorKind, RequestError, RunState
-from wisteriaworks.gateway.model import AnswerTimes, CallerRequest, ShardQuery
+from wisteriaworks.gateway.model import (
+    AnswerTimes,
+    CallerRequest,
+    EarlierSends,
+    ShardQuery,
+)
 from wisteriaworks.gateway.query import (
     GatheredAnswer,
     SingleAnswer,
@@ -223,6 +228,11 @@
             return GatheredParts(taken=False)
         if not self._has_room_to_gather(len(message.body)):
             return GatheredParts(taken=False, running=self.gathering_parts)
+        shards = tuple(route.shards[position] for position in message.positions)
+        table = self._forwarder.fleet.table
+        revision, servers = table.revision, table.compute_digest(shards)
+        if message.servers not in (0, servers):
+            return GatheredParts(taken=False)
         now = trio.current_time()
         query = _read_query(message, route, routes, now)
         if message.may_decline and self._forwarder.is_near_loaded(
@@ -231,7 +241,7 @@
             return GatheredParts(
                 taken=False, reason=LOADED, running=self.gathering_parts
             )
-        send(GatherAccepted())
+        send(GatherAccepted(servers=servers))
         size = len(message.positions)
         self.running += 1
         self.gathering_parts += size
@@ -240,10 +250,12 @@
             # Without it, the gateway may have let another delegate gather the parts.
             if message.confirms and not await _is_confirmed(send):
                 return GatheredParts(taken=False)
+            if table.revision != revision and table.compute_digest(shards) != servers:
+                return GatheredParts(taken=False)
             progress = await self._forwarder.run_group(
                 query,
                 message.positions,
-                message.earlier,
+                EarlierSends(message.earlier, message.servers),
                 lambda progress: send(_make_reply(progress, now)),
                 lambda servers_used: self._log.record_group_cancelled(
                     query, servers_used, now
--- a/src/wisteriaworks/gateway/delegate_client.py
+++ b/src/wisteriaworks/gateway/delegate_client.py
@@ -30,7 +30,14 @@
 
 
 class DelegateLostError(Exception):
-    """Report a delegate that may have run a query and did not answer it."""
+    """Report a delegate that may have run a query and did not answer it.
+
+    ``servers`` is the digest of the servers that it may have used.
+    """
+
+    def __init__(self, message, servers):
+        super().__init__(message)
+        self.servers = servers
 
 
 class NotAcceptedError(Exception):
@@ -96,7 +103,7 @@
         """Ask a delegate for some parts; return false if it sends nothing to servers.
 
         ``on_progress`` is called with each GroupProgress, the last of which is final.
-        ``earlier`` is the EarlierRun at another delegate. With ``may_decline``, the
+        ``earlier`` are the EarlierSends of another delegate. With ``may_decline``, the
         delegate may decline because its servers are loaded.
 
         Raises DelegateLostError and NotAcceptedError.
@@ -109,7 +116,7 @@
             wait_s = min(wait_s, MAX_WAIT_OBJECTIVES * objective_s)
         query_id = next(self._query_ids)
         self.selector.begin(delegate, query_id, len(positions), began_at)
-        has_failed, is_confirmed, running, decline_reason = False, False, None, ""
+        has_failed, confirmed, running, decline_reason = False, None, None, ""
         try:
             channel = await self._open_channel(delegate.address)
             async with channel.stream(message, wait_s) as replies:
@@ -117,19 +124,20 @@
                 self.selector.accept(delegate)
                 if isinstance(reply, GatherAccepted):
                     # From here on, the delegate may send requests to servers.
-                    is_confirmed = True
+                    confirmed = reply
                     replies.confirm()
                     reply = await _read_parts(
-                        delegate, replies, len(positions), began_at, on_progress
+                        replies, len(positions), began_at, on_progress
                     )
             # A delegate that declines for another reason than its load states none.
             running = reply.running if reply.taken else reply.running or None
             decline_reason = "" if reply.taken else reply.reason
         except RpcError as exc:
             has_failed = True
-            if is_confirmed:
-                raise DelegateLostError(f"{delegate.name}: {exc.message}") from exc
-            raise NotAcceptedError from exc
+            if confirmed is None:
+                raise NotAcceptedError from exc
+            message = f"{delegate.name}: {exc.message}"
+            raise DelegateLostError(message, confirmed.servers) from exc
         finally:
             now = trio.current_time()
             self.selector.end(
@@ -173,7 +181,8 @@
             left_ms=max(1, math.floor((times.deadline_at - now) * 1000)),
             due_ms=(times.partial_at - hop_s - now) * 1000,
             return_ms=(times.deadline_at - times.give_up_at + hop_s) * 1000,
-            earlier=earlier,
+            earlier=earlier.run,
+            servers=earlier.servers,
             account=request.account,
             key_id=request.key_id,
             runs_within_ms=_compute_permission_ms(request),
@@ -193,17 +202,20 @@
     raise NotAcceptedError
 
 
-async def _read_parts(delegate, replies, size, began_at, on_progress):
-    """Report the progress of a confirmed group and return the last reply."""
+async def _read_parts(replies, size, began_at, on_progress):
+    """Report the progress of a confirmed group and return the last reply.
+
+    Raises RpcError.
+    """
     reply = await anext(replies, None)
     while isinstance(reply, GatheredParts) and reply.taken:
         hop_s = trio.current_time() - began_at - reply.ran_ms / 1000
-        on_progress(_read_progress(reply, size, hop_s, delegate))
+        on_progress(_read_progress(reply, size, hop_s))
         if reply.is_final:
             return reply
         reply = await anext(replies, None)
     if not isinstance(reply, GatheredParts):
-        raise DelegateLostError(f"{delegate.name}: no usable reply")
+        raise RpcError("no usable reply", sent=True)
     return reply
 
 
@@ -214,14 +226,14 @@
     return max(0.001, (request.expires_at - read_boot_time()) * 1000)
 
 
-def _read_progress(reply, size, hop_s, delegate):
+def _read_progress(reply, size, hop_s):
     """Return the progress that a reply states.
 
-    Raises DelegateLostError if it has more parts than the group.
+    Raises RpcError if it has more parts than the group.
     """
     part = MergedPart(reply.signatures, reply.body)
     if len(part.signatures) + reply.lost > size:
-        raise DelegateLostError(f"{delegate.name}: more parts than shards")
+        raise RpcError("more parts than shards", sent=True)
     return GroupProgress(
         size=size,
         part=part,
--- a/src/wisteriaworks/gateway/fetch.py
+++ b/src/wisteriaworks/gateway/fetch.py
@@ -72,7 +72,8 @@
     ``median_s`` the median time of an answer on the route. With ``is_repeat``,
     another gateway may have sent the request, so even the first send is a repeat.
     With ``prefers_near``, servers of the own domain are preferred if their answers
-    are expected in time before ``due_at``.
+    are expected in time before ``due_at``. Only the servers ``server_ids`` get the
+    request, or any if it is None.
     """
 
     service: str
@@ -84,6 +85,7 @@
     is_repeat: bool = False
     prefers_near: bool = False
     due_at: float = math.inf
+    server_ids: frozenset[str] | None = None
 
 
 class Fetch:
@@ -268,8 +270,12 @@
         """
         stats = self._fleet.stats
         usable = self._fleet.table.list_usable(self.policy.service)
+        known = self.policy.server_ids
         usable = [
-            server for server in usable if not stats.is_address_reused(server.id, now)
+            server
+            for server in usable
+            if not stats.is_address_reused(server.id, now)
+            and (known is None or server.id in known)
         ]
         versions = self._fleet.versions
         if versions is None:
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -180,12 +180,15 @@
         """Return the final GroupProgress of some shards of a ShardQuery.
 
         ``on_progress`` is called with the progress once the query is due, and with
-        each part after that. ``earlier`` is the EarlierRun at another gateway.
-        ``on_cancelled`` is called with the most servers used for any shard.
+        each part after that. ``earlier`` are the EarlierSends of another gateway.
+        Servers that are listed later get no request of the group. ``on_cancelled`` is
+        called with the most servers used for any shard.
         """
         route, document = query.route, query.document
         services = [route.shards[position] for position in positions]
-        fetches = self._make_fetches(route, services, document, query.times, earlier)
+        fetches = self._make_fetches(
+            route, services, document, query.times, earlier.run, is_group=True
+        )
         group = GroupQuery(route, fetches, query.times)
         run = QueryRun(
             self, query.request, route, group, query.times, document, on_progress
@@ -196,7 +199,15 @@
             on_cancelled(max(fetch.servers_used for fetch in fetches.values()))
             raise
 
-    def _make_fetches(self, route, services, document, times, earlier=EarlierRun.NONE):
+    def _make_fetches(
+        self,
+        route,
+        services,
+        document,
+        times,
+        earlier=EarlierRun.NONE,
+        is_group=False,
+    ):
         now = trio.current_time()
         delay_estimator = self.get_delay_estimator(route)
         available_s = times.partial_at - now if route.shards else math.inf
@@ -217,12 +228,16 @@
                     is_repeat=earlier is EarlierRun.ACCEPTED,
                     prefers_near=prefers_near,
                     due_at=times.partial_at,
+                    server_ids=self._list_ids(service) if is_group else None,
                 ),
                 self.fleet,
             )
             for service in services
         }
 
+    def _list_ids(self, service):
+        return frozenset(s.id for s in self.fleet.table.list_service(service))
+
     def _count_attempts(self, route, service, earlier):
         """Return to how many servers of a service the request may be sent.
 
--- a/src/wisteriaworks/gateway/gather_run.py
+++ b/src/wisteriaworks/gateway/gather_run.py
@@ -8,6 +8,7 @@
 from wisteriaworks.gateway.delegate_client import DelegateLostError, NotAcceptedError
 from wisteriaworks.gateway.fetch import FetchTrace
 from wisteriaworks.gateway.gathering import Gathering, GroupPlanner, GroupProgress
+from wisteriaworks.gateway.model import EarlierSends
 from wisteriaworks.gateway.query import UnservedReason
 from wisteriaworks.generated.messages import EarlierRun
 
@@ -40,10 +41,14 @@
             return None
         return await _GatherRun(self, query, placements).run()
 
-    def can_run_again(self, route, shards):
-        """Return whether no shard has more servers than the route allows to use."""
+    def can_run_again(self, route, shards, servers):
+        """Return whether no shard has more servers than the route allows to use.
+
+        ``servers`` is the digest of the servers that another gateway may have used.
+        """
         table = self.forwarder.fleet.table
-        return all(table.count(shard) <= route.attempts for shard in shards)
+        is_within = all(table.count(shard) <= route.attempts for shard in shards)
+        return is_within and table.compute_digest(shards) == servers
 
 
 class _GatherRun:
@@ -77,7 +82,7 @@
         return result
 
     def _record(self, number, earlier, progress):
-        if earlier is not EarlierRun.NONE:
+        if earlier.run is not EarlierRun.NONE:
             progress = progress.mark_as_run()
         self._gathering.record(number, progress)
         self._changed.set()
@@ -87,7 +92,7 @@
         gatherer, query, group = self._gatherer, self._query, placement.group
         route = query.route
         shards = [route.shards[position] for position in group.positions]
-        delegate, excluded, earlier = placement.delegate, [], EarlierRun.NONE
+        delegate, excluded, earlier = placement.delegate, [], EarlierSends()
         while delegate is not None and len(excluded) < MAX_DELEGATES_TRIED:
             asked_at, cause = trio.current_time(), HandOnCause.DECLINED
             try:
@@ -104,11 +109,11 @@
                 cause = HandOnCause.NOT_ACCEPTED
             except DelegateLostError as exc:
                 is_late = trio.current_time() >= query.times.partial_at
-                if is_late or not gatherer.can_run_again(route, shards):
+                if is_late or not gatherer.can_run_again(route, shards, exc.servers):
                     self._fail(number, str(exc))
                     return
                 cause = HandOnCause.LOST
-                earlier = EarlierRun.ACCEPTED
+                earlier = EarlierSends(EarlierRun.ACCEPTED, exc.servers)
             excluded.append(delegate.name)
             gatherer.log.record_handed_on(
                 query, delegate, cause.value, len(excluded), asked_at
@@ -116,6 +121,11 @@
             delegate = gatherer.delegates.selector.choose(
                 route, group.domain, trio.current_time(), excluded
             )
+        if earlier.run is not EarlierRun.NONE and not gatherer.can_run_again(
+            route, shards, earlier.servers
+        ):
+            self._fail(number, "the servers have changed")
+            return
         on_progress = functools.partial(self._record, number, earlier)
         on_progress(
             await gatherer.forwarder.run_group(
@@ -142,4 +152,4 @@
             reason=UnservedReason.DELEGATE,
             causes=(FetchTrace("", (), text, ""),),
         )
-        self._record(number, EarlierRun.ACCEPTED, progress)
+        self._record(number, EarlierSends(EarlierRun.ACCEPTED), progress)
--- a/src/wisteriaworks/gateway/model.py
+++ b/src/wisteriaworks/gateway/model.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from wisteriaworks.generated.document import Document, Route
+from wisteriaworks.generated.messages import EarlierRun
 
 Header = tuple[bytes, bytes]
 # HTTP status "Misdirected Request": the server is not the one that the request names.
@@ -63,6 +64,17 @@
     times: AnswerTimes
 
 
+@dataclass(frozen=True, slots=True)
+class EarlierSends:
+    """Describe what another gateway may have sent of a group of shards.
+
+    ``servers`` is the digest of the servers that it knew for them.
+    """
+
+    run: EarlierRun = EarlierRun.NONE
+    servers: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ServerAnswer:
     """Represent one complete answer of a server.
--- a/src/wisteriaworks/gateway/server_table.py
+++ b/src/wisteriaworks/gateway/server_table.py
@@ -1,5 +1,6 @@
 """Servers of each service, by the platform's list and operator commands."""
 
+import zlib
 from dataclasses import dataclass
 
 from wisteriaworks.generated.messages import ListedServer
@@ -57,6 +58,11 @@
         """Return the ids of all listed servers."""
         return list(self._servers)
 
+    def compute_digest(self, services):
+        """Return a number that two tables share if they list the same servers."""
+        ids = sorted(s.id for name in services for s in self.list_service(name))
+        return zlib.crc32("\n".join(ids).encode())
+
     def list_usable(self, service):
         """Return the servers of a service that may receive new work."""
         return [
--- a/tests/gateway/gathering_simulation.py
+++ b/tests/gateway/gathering_simulation.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import functools
+import math
 import random
 import zlib
 from dataclasses import dataclass, field
@@ -81,12 +82,18 @@
 
 @dataclass
 class SimulatedGateway:
-    """Represent one gateway; ``lag_s`` delays everything from and to it."""
+    """Represent one gateway; ``lag_s`` delays everything from and to it.
+
+    ``lists`` are the domains of the servers that it knows, and ``lost_at`` is when the
+    connections to it end.
+    """
 
     name: str
     domain: str = "a"
     lag_s: float = 0.0005
     stalls: tuple[Stall, ...] = ()
+    lists: str = DOMAINS
+    lost_at: float = math.inf
     forwarder: Forwarder = None
     app: GatewayApp = None
     delegates: DelegateClient = None
@@ -229,7 +236,7 @@
         entries = [
             make_entry(f"{shard}-{domain}", service=shard, domain=domain)
             for shard in SHARDS
-            for domain in DOMAINS
+            for domain in gateway.lists
         ]
         forwarder.fleet.table.assign(make_known_servers(entries, -60.0))
         forwarder.fleet.set_document(self._routes.document, trio.current_time())
@@ -311,16 +318,18 @@
                     await sink.send_all(data)
             await sink.aclose()
 
+        lost_at = min(sender.lost_at, receiver.lost_at)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(deliver)
-            async with send:
-                with contextlib.suppress(
-                    trio.BrokenResourceError, trio.ClosedResourceError
-                ):
-                    async for data in source:
-                        now = trio.current_time()
-                        due_at = receiver.delay(sender.delay(now))
-                        send.send_nowait((due_at, data))
+            with trio.move_on_at(lost_at):
+                async with send:
+                    with contextlib.suppress(
+                        trio.BrokenResourceError, trio.ClosedResourceError
+                    ):
+                        async for data in source:
+                            now = trio.current_time()
+                            due_at = receiver.delay(sender.delay(now))
+                            send.send_nowait((due_at, data))
 
     async def ask(self):
         """Send a query to the caller's gateway; return status, headers and body."""
--- a/tests/gateway/test_fetch.py
+++ b/tests/gateway/test_fetch.py
@@ -12,6 +12,7 @@
 )
 from wisteriaworks.gateway.model import Answered, Failed, Failure, Refused
 from wisteriaworks.gateway.server_stats import ADDRESS_REUSE_AVOID_S
+from wisteriaworks.gateway.server_table import make_known_servers
 from wisteriaworks.generated.settings import BudgetSettings
 
 TWO_SERVERS = [make_entry("i1"), make_entry("i2")]
@@ -261,3 +262,16 @@
     entries = [make_entry("i1", cold_s=60.0), make_entry("i2")]
     chosen = {begin(make_fetch(entries, cold_per_s=4.0)) for _ in range(20)}
     assert chosen == {"i2"}
+
+
+def test_group_sends_nothing_to_a_server_that_is_listed_later():
+    """A group that runs again elsewhere could then reach more servers than allowed."""
+    fleet = make_fleet(TWO_SERVERS)
+    known = frozenset(entry.id for entry in TWO_SERVERS)
+    policy = FetchPolicy("s", True, 2, 0.0, hedge_after_s=0.05, server_ids=known)
+    fetch = Fetch(policy, fleet)
+    first = begin(fetch)
+    entries = [make_entry("i3"), *(e for e in TWO_SERVERS if e.id == first)]
+    fleet.table.assign(make_known_servers(entries, 0.0))
+    send = fetch.handle_outcome(first, BROKEN, 1.1)
+    assert send is None or send.server.id == first
--- a/tests/gateway/test_limits_over_gateways.py
+++ b/tests/gateway/test_limits_over_gateways.py
@@ -99,6 +99,35 @@
     assert simulation.servers.count_repeats() == 0
 
 
+def test_lost_delegate_with_another_list_and_the_next_one_use_too_many_servers():
+    """No shard has more servers than attempts, by the list of the own gateway."""
+    gateways = make_gateways(0.0005, 0.0005, 0.0005)
+    gateways[0].lists = gateways[2].lists = "ab"
+    gateways[1].lost_at = 0.06
+    simulation = run_simulation(gateways, make_slow_servers(), ask_once)
+    assert_within_limits(simulation)
+
+
+def test_next_delegate_with_another_list_than_a_lost_one_uses_too_many_servers():
+    gateways = make_gateways(0.0005, 0.0005, 0.0005)
+    gateways[0].lists = gateways[1].lists = "ab"
+    gateways[2].domain = "c"
+    gateways[1].lost_at = 0.06
+    simulation = run_simulation(gateways, make_slow_servers(), ask_once)
+    assert_within_limits(simulation)
+
+
+def test_group_of_a_lost_delegate_runs_again_where_attempts_allow_it():
+    """The limit would also hold if nothing was sent again."""
+    gateways = make_gateways(0.0005, 0.0005, 0.0005)
+    for gateway in gateways:
+        gateway.lists = "ab"
+    gateways[1].lost_at = 0.02
+    simulation = run_simulation(gateways, make_slow_servers(), ask_once)
+    assert_within_limits(simulation)
+    assert gateways[2].counted_repeats >= len(SHARDS)
+
+
 def test_late_delegate_costs_no_part_of_the_answer():
     """A group that is handed on without attempts would lose its parts."""
     answers = []
