Move the serving of groups out of the gateway's app

The app answered callers and gathered parts for other gateways, and its longest method did the latter. GroupServer does that now, in a module that states its load pattern; the checks are the same.

run_group failed for a group without shards that was cancelled, as the greatest number of servers used was taken of nothing. No gateway asks for such a group.

--- a/src/wisteriaworks/gateway/app.py
+++ b/src/wisteriaworks/gateway/app.py
@@ -7,15 +7,10 @@
 import trio
 
 from wisteriaworks.asgi import read_body, run_lifespan, wait_for_disconnect
-from wisteriaworks.balancing.distance import LOADED
 from wisteriaworks.clocks import read_boot_time
 from wisteriaworks.errors import ERROR_RESPONSES, ErrorKind, RequestError, RunState
-from wisteriaworks.gateway.model import (
-    AnswerTimes,
-    CallerRequest,
-    EarlierSends,
-    ShardQuery,
-)
+from wisteriaworks.gateway.group_server import GroupServer
+from wisteriaworks.gateway.model import AnswerTimes, ShardQuery
 from wisteriaworks.gateway.query import (
     GatheredAnswer,
     SingleAnswer,
@@ -24,12 +19,6 @@
 )
 from wisteriaworks.gateway.records import merge_greatest
 from wisteriaworks.gateway.route_index import ServiceRotation
-from wisteriaworks.generated.messages import (
-    GatherAccepted,
-    GatheredParts,
-    HandedAnswer,
-    PartTrace,
-)
 from wisteriaworks.quotas.gate import compute_patience
 from wisteriaworks.quotas.tokens import Granted, OverLimit, Unavailable
 
@@ -41,12 +30,6 @@
 # A gateway without a configuration has just started, usually together with all
 # others; control elects a leader and sends the configuration within about a second.
 RETRY_AFTER_STARTING_S = 0.7
-# Parts that are gathered for other gateways at once. A VM of 1.4 cores gathers 10,000
-# parts/s, so more than this would wait for the processor until their objectives.
-MAX_GATHERED_PARTS = 4200
-# A gateway confirms an accepted group at once. One that is frozen or cut off must not
-# keep the room of its groups.
-CONFIRM_TIMEOUT_S = 0.5
 _ERROR_KINDS = {
     UnservedReason.NO_SERVER: ErrorKind.NO_LIVE_SERVER,
     UnservedReason.REFUSED: ErrorKind.BACKEND_REFUSED,
@@ -100,12 +83,15 @@
         self.is_closing = False
         # Set shortly before the process ends; requests without an answer get one then.
         self._must_end = trio.Event()
-        self.running = 0
-        # Parts that this gateway gathers for others.
-        self.gathering_parts = 0
-        # Bytes of the bodies of these requests, and their limit.
-        self.gathering_bytes = 0
-        self.max_gathering_bytes = math.inf
+        self._running = 0
+        self.groups = GroupServer(
+            state, forwarder, accounts, log, lambda: self.is_ready
+        )
+
+    @property
+    def running(self):
+        """Return the number of requests and groups without an answer."""
+        return self._running + self.groups.running
 
     @property
     def is_ready(self):
@@ -129,7 +115,7 @@
 
     async def _serve(self, scope, receive, send):
         arrived_at = trio.current_time()
-        self.running += 1
+        self._running += 1
         try:
             answer = await self._answer_while_connected(scope, receive, arrived_at)
             if answer is not None:
@@ -138,7 +124,7 @@
                 sent_after_s = trio.current_time() - decided_at
                 self._forwarder.return_time.own.observe(sent_after_s)
         finally:
-            self.running -= 1
+            self._running -= 1
 
     async def _answer_while_connected(self, scope, receive, arrived_at):
         """Return status, headers and body, or None if the caller disconnected."""
@@ -208,72 +194,6 @@
         await self._must_end.wait()
         scope.cancel()
 
-    async def decline_delegated_query(self, message, send):
-        """Decline a query of a gateway of an older version; a handler of RpcServer."""
-        return HandedAnswer(taken=False)
-
-    async def gather_parts(self, message, send):
-        """Gather parts for a query of another gateway; a handler of RpcServer."""
-        routes = self._state.routes
-        path = message.target.split(b"?", 1)[0].decode("latin-1")
-        route = routes.find(message.host, path)
-        # The versions must match. Otherwise this gateway could query the shards of a
-        # newer configuration, and later those of an older one.
-        is_same_version = routes.version == message.version
-        if not (self.is_ready and is_same_version and route and route.shards):
-            return GatheredParts(taken=False)
-        if not self._accounts.accepts(message, route):
-            return GatheredParts(taken=False)
-        if not all(0 <= p < len(route.shards) for p in message.positions):
-            return GatheredParts(taken=False)
-        if not self._has_room_to_gather(len(message.body)):
-            return GatheredParts(taken=False, running=self.gathering_parts)
-        shards = tuple(route.shards[position] for position in message.positions)
-        table = self._forwarder.fleet.table
-        revision, servers = table.revision, table.compute_digest(shards)
-        if message.servers not in (0, servers):
-            return GatheredParts(taken=False)
-        now = trio.current_time()
-        query = _read_query(message, route, routes, now)
-        if message.may_decline and self._forwarder.is_near_loaded(
-            query, message.positions
-        ):
-            return GatheredParts(
-                taken=False, reason=LOADED, running=self.gathering_parts
-            )
-        send(GatherAccepted(servers=servers))
-        size = len(message.positions)
-        self.running += 1
-        self.gathering_parts += size
-        self.gathering_bytes += len(message.body)
-        try:
-            # Without it, the gateway may have let another delegate gather the parts.
-            if message.confirms and not await _is_confirmed(send):
-                return GatheredParts(taken=False)
-            if table.revision != revision and table.compute_digest(shards) != servers:
-                return GatheredParts(taken=False)
-            progress = await self._forwarder.run_group(
-                query,
-                message.positions,
-                EarlierSends(message.earlier, message.servers),
-                lambda progress: send(_make_reply(progress, now)),
-                lambda servers_used: self._log.record_group_cancelled(
-                    query, servers_used, now
-                ),
-            )
-        finally:
-            self.running -= 1
-            self.gathering_parts -= size
-            self.gathering_bytes -= len(message.body)
-        return _make_reply(progress, now, running=self.gathering_parts)
-
-    def _has_room_to_gather(self, size):
-        """Return whether parts for a body of ``size`` bytes may be gathered now."""
-        if self.gathering_parts >= MAX_GATHERED_PARTS:
-            return False
-        gathering_bytes = self.gathering_bytes
-        return not gathering_bytes or gathering_bytes + size <= self.max_gathering_bytes
-
     async def _answer(self, request, route, routes, arrived_at):
         times = self._compute_times(request, route, arrived_at)
         document, result = routes.document, None
@@ -345,60 +265,7 @@
         await send({"type": "http.response.body", "body": body})
 
 
-async def _is_confirmed(call):
-    with trio.move_on_after(CONFIRM_TIMEOUT_S):
-        await call.wait_until_confirmed()
-        return True
-    return False
-
-
 async def _cancel_on_disconnect(receive, scope):
     """Cancel the work for a caller once it closes its connection."""
     await wait_for_disconnect(receive)
     scope.cancel()
-
-
-def _read_query(message, route, routes, now):
-    """Return the query of which another gateway asks for some parts."""
-    deadline_at = now + message.left_ms / 1000
-    request = CallerRequest(
-        method=message.method,
-        target=message.target,
-        host=message.host,
-        headers=message.headers,
-        body=message.body,
-        id=message.id,
-        deadline_at=deadline_at,
-        account=message.account,
-        key_id=message.key_id,
-        expires_at=(
-            read_boot_time() + message.runs_within_ms / 1000
-            if message.runs_within_ms
-            else math.inf
-        ),
-    )
-    times = AnswerTimes(
-        partial_at=now + message.due_ms / 1000,
-        give_up_at=deadline_at - message.return_ms / 1000,
-        deadline_at=deadline_at,
-    )
-    return ShardQuery(request, route, routes.document, routes.version, times)
-
-
-def _make_reply(progress, began_at, running=0):
-    """Return the message that states the progress of a group."""
-    return GatheredParts(
-        taken=True,
-        is_final=progress.is_final,
-        signatures=progress.part.signatures,
-        body=progress.part.body,
-        lost=progress.lost,
-        may_have_run=progress.may_have_run,
-        reason=progress.reason.value,
-        causes=tuple(
-            PartTrace(c.service, c.servers, c.outcome, c.denial)
-            for c in progress.causes
-        ),
-        ran_ms=(trio.current_time() - began_at) * 1000,
-        running=running,
-    )
--- a/src/wisteriaworks/gateway/forwarder.py
+++ b/src/wisteriaworks/gateway/forwarder.py
@@ -196,7 +196,8 @@
         try:
             return await run.run()
         except trio.Cancelled:
-            on_cancelled(max(fetch.servers_used for fetch in fetches.values()))
+            used = (fetch.servers_used for fetch in fetches.values())
+            on_cancelled(max(used, default=0))
             raise
 
     def _make_fetches(
--- a/src/wisteriaworks/gateway/program.py
+++ b/src/wisteriaworks/gateway/program.py
@@ -97,7 +97,7 @@
             self.app = self._make_app(
                 state, forwarder, log, metrics, gatherer, accounts
             )
-            self.app.max_gathering_bytes = int(
+            self.app.groups.max_gathering_bytes = int(
                 cfg.ingress.memory_mb * GATHERING_SHARE * 1024 * 1024
             )
             self._register_metrics(state, forwarder, metrics)
@@ -116,8 +116,8 @@
                 self._start_reports(nursery, forwarder.fleet.versions, metrics)
             if cfg.peer:
                 handlers = {
-                    GatherParts: self.app.gather_parts,
-                    HandedQuery: self.app.decline_delegated_query,
+                    GatherParts: self.app.groups.gather_parts,
+                    HandedQuery: self.app.groups.decline_delegated_query,
                 }
                 self._peer_server = RpcServer(handlers, log_failure)
                 await nursery.start(self._peer_server.serve, cfg.peer)
--- a/tests/gateway/gathering_simulation.py
+++ b/tests/gateway/gathering_simulation.py
@@ -298,7 +298,7 @@
         (peer,) = [gateway for gateway in self.gateways if gateway.name == name]
         near, near_end = trio.testing.memory_stream_pair()
         far, far_end = trio.testing.memory_stream_pair()
-        handlers = {GatherParts: peer.app.gather_parts}
+        handlers = {GatherParts: peer.app.groups.gather_parts}
         server = rpc.RpcServer(handlers, _raise_error)
         self._nursery.start_soon(server._accept, far)
         caller = self.gateways[0]
--- a/tests/platform_adapter/test_delegated_queries.py
+++ b/tests/platform_adapter/test_delegated_queries.py
@@ -10,9 +10,9 @@
 from test_gateway_system import SHARDS, make_configuration
 
 from wisteriaworks.gateway import delegate_client, gathering
-from wisteriaworks.gateway.app import MAX_GATHERED_PARTS
 from wisteriaworks.gateway.delegate_client import DelegateClient
 from wisteriaworks.gateway.delegation import ACCEPT_TIMEOUT_S, DelegateSelector
+from wisteriaworks.gateway.group_server import MAX_GATHERED_PARTS
 from wisteriaworks.gateway.retry_budget import RetryBudget
 from wisteriaworks.gateway.return_time import ReturnTime
 from wisteriaworks.generated.messages import Delegate, GatherParts, HandedQuery
@@ -93,7 +93,7 @@
 async def test_full_delegate_says_so_before_it_sends(system):
     """Queries beyond its capacity would wait for its processor until they are late."""
     await wait_for_delegate(system)
-    system.gateways[FAST_LINK].app.gathering_parts = MAX_GATHERED_PARTS
+    system.gateways[FAST_LINK].app.groups.gathering_parts = MAX_GATHERED_PARTS
     before = [count_sends(system, gateway) for gateway in (SLOW_LINK, FAST_LINK)]
     reply = await system.call("GET", "/shards/x", gateway=SLOW_LINK)
     after = [count_sends(system, gateway) for gateway in (SLOW_LINK, FAST_LINK)]
@@ -103,8 +103,8 @@
 
 async def test_delegate_declines_bodies_beyond_its_memory(system):
     await wait_for_delegate(system)
-    app = system.gateways[FAST_LINK].app
-    app.gathering_bytes, app.max_gathering_bytes = 1, 3
+    groups = system.gateways[FAST_LINK].app.groups
+    groups.gathering_bytes, groups.max_gathering_bytes = 1, 3
     before = count_sends(system, FAST_LINK)
     reply = await system.call("POST", "/shards/x", b"body", gateway=SLOW_LINK)
     assert reply.status == 200
@@ -112,7 +112,7 @@
     reply = await system.call("POST", "/shards/x", b"bo", gateway=SLOW_LINK)
     assert reply.status == 200
     assert count_sends(system, FAST_LINK) == before + len(SHARDS)
-    assert app.gathering_bytes == 1
+    assert groups.gathering_bytes == 1
 
 
 async def test_query_of_another_version_is_declined(system):
@@ -209,7 +209,7 @@
         try:
             with trio.CancelScope(shield=True):
                 await trio.sleep(2 * ACCEPT_TIMEOUT_S)
-                return await app.gather_parts(message, send)
+                return await app.groups.gather_parts(message, send)
         finally:
             ended.set()
 
