Return what came of asking a delegate as data classes

A group that goes on was reported by two exceptions, a boolean and an enum, and one method decided what to do about each while it also ran the group here. DelegateClient.ask returns Gathered, Declined, NotAccepted or Lost now, and the run of the groups matches them. Nothing else changes; the tests of delegation and of the limits over gateways pass as they are.

--- a/src/wisteriaworks/gateway/delegate_client.py
+++ b/src/wisteriaworks/gateway/delegate_client.py
@@ -1,7 +1,9 @@
 """Keep connections to delegates and ask them for the parts of groups of shards."""
 
+import functools
 import itertools
 import math
+from dataclasses import dataclass
 
 import trio
 
@@ -29,19 +31,40 @@
 _REASONS = {reason.value: reason for reason in UnservedReason}
 
 
-class DelegateLostError(Exception):
-    """Report a delegate that may have run a query and did not answer it.
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """Report a delegate that has gathered a group and gathers ``running`` parts."""
+
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """Report a delegate that has declined a group, so it sends nothing to servers."""
+
+    running: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """Report a delegate that is not confirmed, so it sends nothing to servers."""
+
+    has_failed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Report a delegate that may have run a group and did not answer.
 
     ``servers`` is the digest of the servers that it may have used.
     """
 
-    def __init__(self, message, servers):
-        super().__init__(message)
-        self.servers = servers
+    reason: str
+    servers: int
 
 
-class NotAcceptedError(Exception):
-    """Report a delegate that did not accept a query, so it sends nothing to servers."""
+Outcome = Gathered | Declined | NotAccepted | Lost
 
 
 class DelegateClient:
@@ -100,50 +123,64 @@
     async def ask(
         self, delegate, query, positions, earlier, on_progress, may_decline=False
     ):
-        """Ask a delegate for some parts; return false if it sends nothing to servers.
+        """Ask a delegate for some parts; return the Outcome.
 
         ``on_progress`` is called with each GroupProgress, the last of which is final.
         ``earlier`` are the EarlierSends of another delegate. With ``may_decline``, the
         delegate may decline because its servers are loaded.
-
-        Raises DelegateLostError and NotAcceptedError.
         """
         began_at = trio.current_time()
         message = self._make_message(query, positions, earlier, began_at, may_decline)
-        wait_s = message.left_ms / 1000
-        if query.route.objective_ms:
-            objective_s = query.route.objective_ms / 1000
-            wait_s = min(wait_s, MAX_WAIT_OBJECTIVES * objective_s)
-        query_id = next(self._query_ids)
+        query_id, outcome = next(self._query_ids), None
         self.selector.begin(delegate, query_id, len(positions), began_at)
-        has_failed, confirmed, running, decline_reason = False, None, None, ""
+        try:
+            outcome = await self._send(
+                delegate, message, _compute_wait_s(query, message), on_progress
+            )
+        finally:
+            self._end(delegate, query_id, outcome)
+        return outcome
+
+    async def _send(self, delegate, message, wait_s, on_progress):
+        began_at, size = trio.current_time(), len(message.positions)
+        confirmed = None
         try:
             channel = await self._open_channel(delegate.address)
             async with channel.stream(message, wait_s) as replies:
-                reply = await _read_acceptance(replies)
-                self.selector.accept(delegate)
+                reply = await replies.receive_within(ACCEPT_TIMEOUT_S)
                 if isinstance(reply, GatherAccepted):
+                    self.selector.accept(delegate)
                     # From here on, the delegate may send requests to servers.
                     confirmed = reply
                     replies.confirm()
-                    reply = await _read_parts(
-                        replies, len(positions), began_at, on_progress
-                    )
-            # A delegate that declines for another reason than its load states none.
-            running = reply.running if reply.taken else reply.running or None
-            decline_reason = "" if reply.taken else reply.reason
+                    reply = await _read_parts(replies, size, began_at, on_progress)
         except RpcError as exc:
-            has_failed = True
             if confirmed is None:
-                raise NotAcceptedError from exc
-            message = f"{delegate.name}: {exc.message}"
-            raise DelegateLostError(message, confirmed.servers) from exc
-        finally:
-            now = trio.current_time()
-            self.selector.end(
-                delegate, query_id, now, has_failed, running, decline_reason
-            )
-        return reply.taken
+                return NotAccepted(has_failed=True)
+            return Lost(f"{delegate.name}: {exc.message}", confirmed.servers)
+        match reply:
+            case GatheredParts(taken=False):
+                self.selector.accept(delegate)
+                return Declined(reply.running, reply.reason)
+            case GatheredParts() if confirmed is not None:
+                return Gathered(reply.running)
+        return NotAccepted()
+
+    def _end(self, delegate, query_id, outcome):
+        """Record the end of a group; ``outcome`` is None if it was cancelled."""
+        end = functools.partial(
+            self.selector.end, delegate, query_id, trio.current_time()
+        )
+        match outcome:
+            case Gathered(running):
+                end(running=running)
+            case Declined(running, reason):
+                # A delegate that declines for another reason than its load states none.
+                end(running=running or None, decline_reason=reason)
+            case NotAccepted(has_failed=True) | Lost():
+                end(has_failed=True)
+            case _:
+                end()
 
     def _read_silence(self, address):
         if address in self._unreachable:
@@ -191,15 +228,12 @@
         )
 
 
-async def _read_acceptance(replies):
-    """Return the first reply: GatherAccepted, or GatheredParts if declined.
-
-    Raises NotAcceptedError and RpcError.
-    """
-    match reply := await replies.receive_within(ACCEPT_TIMEOUT_S):
-        case GatherAccepted() | GatheredParts(taken=False):
-            return reply
-    raise NotAcceptedError
+def _compute_wait_s(query, message):
+    """Return the time after which a delegate that has accepted a query is given up."""
+    wait_s = message.left_ms / 1000
+    if query.route.objective_ms:
+        wait_s = min(wait_s, MAX_WAIT_OBJECTIVES * query.route.objective_ms / 1000)
+    return wait_s
 
 
 async def _read_parts(replies, size, began_at, on_progress):
--- a/src/wisteriaworks/gateway/gather_run.py
+++ b/src/wisteriaworks/gateway/gather_run.py
@@ -5,7 +5,12 @@
 
 import trio
 
-from wisteriaworks.gateway.delegate_client import DelegateLostError, NotAcceptedError
+from wisteriaworks.gateway.delegate_client import (
+    Declined,
+    Gathered,
+    Lost,
+    NotAccepted,
+)
 from wisteriaworks.gateway.fetch import FetchTrace
 from wisteriaworks.gateway.gathering import Gathering, GroupPlanner, GroupProgress
 from wisteriaworks.gateway.model import EarlierSends
@@ -90,49 +95,59 @@
     async def _gather(self, number, placement):
         """Gather the parts of one group, at another gateway or here."""
         gatherer, query, group = self._gatherer, self._query, placement.group
-        route = query.route
-        shards = [route.shards[position] for position in group.positions]
         delegate, excluded, earlier = placement.delegate, [], EarlierSends()
         while delegate is not None and len(excluded) < MAX_DELEGATES_TRIED:
-            asked_at, cause = trio.current_time(), HandOnCause.DECLINED
-            try:
-                if await gatherer.delegates.ask(
-                    delegate,
-                    query,
-                    group.positions,
-                    earlier,
-                    functools.partial(self._record, number, earlier),
-                    self._may_decline(placement, excluded),
-                ):
-                    return
-            except NotAcceptedError:
-                cause = HandOnCause.NOT_ACCEPTED
-            except DelegateLostError as exc:
-                is_late = trio.current_time() >= query.times.partial_at
-                if is_late or not gatherer.can_run_again(route, shards, exc.servers):
-                    self._fail(number, str(exc))
+            asked_at = trio.current_time()
+            outcome = await gatherer.delegates.ask(
+                delegate,
+                query,
+                group.positions,
+                earlier,
+                functools.partial(self._record, number, earlier),
+                self._may_decline(placement, excluded),
+            )
+            match outcome:
+                case Gathered():
                     return
-                cause = HandOnCause.LOST
-                earlier = EarlierSends(EarlierRun.ACCEPTED, exc.servers)
+                case Declined():
+                    cause = HandOnCause.DECLINED
+                case NotAccepted():
+                    cause = HandOnCause.NOT_ACCEPTED
+                case Lost(reason, servers):
+                    cause = HandOnCause.LOST
+                    earlier = EarlierSends(EarlierRun.ACCEPTED, servers)
+                    is_late = trio.current_time() >= query.times.partial_at
+                    if is_late or not self._may_run(group, earlier):
+                        self._fail(number, reason)
+                        return
             excluded.append(delegate.name)
             gatherer.log.record_handed_on(
                 query, delegate, cause.value, len(excluded), asked_at
             )
             delegate = gatherer.delegates.selector.choose(
-                route, group.domain, trio.current_time(), excluded
+                query.route, group.domain, trio.current_time(), excluded
             )
-        if earlier.run is not EarlierRun.NONE and not gatherer.can_run_again(
-            route, shards, earlier.servers
-        ):
+        await self._run_here(number, group, earlier)
+
+    async def _run_here(self, number, group, earlier):
+        if not self._may_run(group, earlier):
             self._fail(number, "the servers have changed")
             return
         on_progress = functools.partial(self._record, number, earlier)
         on_progress(
-            await gatherer.forwarder.run_group(
-                query, group.positions, earlier, on_progress
+            await self._gatherer.forwarder.run_group(
+                self._query, group.positions, earlier, on_progress
             )
         )
 
+    def _may_run(self, group, earlier):
+        """Return whether another run of a group stays within the route's attempts."""
+        if earlier.run is EarlierRun.NONE:
+            return True
+        route = self._query.route
+        shards = [route.shards[position] for position in group.positions]
+        return self._gatherer.can_run_again(route, shards, earlier.servers)
+
     def _may_decline(self, placement, excluded):
         """Return whether the first delegate of a group may decline it."""
         if excluded or not placement.is_near:
