--- a/tests/gateway/gathering_simulation.py
+++ b/tests/gateway/gathering_simulation.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import functools
+import itertools
 import math
 import random
 import zlib
@@ -207,11 +208,12 @@
 
 
 class GatheringSimulation:
-    """Run a caller's gateway and its delegates; the first gateway is the caller's."""
+    """Run the gateways of callers, which are the first ones, and their delegates."""
 
-    def __init__(self, nursery, gateways, servers, rng):
+    def __init__(self, nursery, gateways, servers, rng, callers=1):
         self._nursery = nursery
         self.gateways = gateways
+        self.callers = gateways[:callers]
         self.servers = servers
         self._rng = rng
         self.route = make_route(
@@ -224,7 +226,7 @@
         )
         document = make_document(self.route, services=SHARDS)
         self._routes = RouteIndex(document, 1)
-        self._ids = (b"q%d" % number for number in range(1000))
+        self._ids = (b"q%d" % number for number in itertools.count())
         for gateway in gateways:
             self._start(gateway)
 
@@ -240,7 +242,7 @@
         ]
         forwarder.fleet.table.assign(make_known_servers(entries, -60.0))
         forwarder.fleet.set_document(self._routes.document, trio.current_time())
-        is_caller = gateway is self.gateways[0]
+        is_caller = gateway in self.callers
         selector = DelegateSelector(
             gateway.name, OWN_LINK_MBPS if is_caller else FAST_LINK_MBPS, self._rng
         )
@@ -277,31 +279,35 @@
         fleet.budget.count_repeat = count
 
     def list_delegates(self):
-        """Tell the caller's gateway its delegates."""
-        self.gateways[0].delegates.set_delegates(
-            [
-                Delegate(
-                    gateway.name,
-                    f"{gateway.name}:1",
-                    gateway.domain,
-                    FAST_LINK_MBPS,
-                    gathers=True,
-                    awaits_confirmation=True,
-                )
-                for gateway in self.gateways[1:]
-            ]
-        )
+        """Tell the callers' gateways their delegates.
+
+        The port of an address is the number of the gateway that calls it.
+        """
+        for number, caller in enumerate(self.callers):
+            caller.delegates.set_delegates(
+                [
+                    Delegate(
+                        gateway.name,
+                        f"{gateway.name}:{number}",
+                        gateway.domain,
+                        FAST_LINK_MBPS,
+                        gathers=True,
+                        awaits_confirmation=True,
+                    )
+                    for gateway in self.gateways[len(self.callers) :]
+                ]
+            )
 
     async def open_stream(self, channel, deadline):
         """Connect to a gateway; takes the place of ``Channel._open``."""
-        name = channel.address.partition(":")[0]
+        name, _, number = channel.address.partition(":")
         (peer,) = [gateway for gateway in self.gateways if gateway.name == name]
         near, near_end = trio.testing.memory_stream_pair()
         far, far_end = trio.testing.memory_stream_pair()
         handlers = {GatherParts: peer.app.groups.gather_parts}
         server = rpc.RpcServer(handlers, _raise_error)
         self._nursery.start_soon(server._accept, far)
-        caller = self.gateways[0]
+        caller = self.callers[int(number)]
         self._nursery.start_soon(self._relay, near_end, far_end, caller, peer)
         self._nursery.start_soon(self._relay, far_end, near_end, peer, caller)
         return near
@@ -331,8 +337,8 @@
                             due_at = receiver.delay(sender.delay(now))
                             send.send_nowait((due_at, data))
 
-    async def ask(self):
-        """Send a query to the caller's gateway; return status, headers and body."""
+    async def ask(self, caller=0):
+        """Send a query to a caller's gateway; return status, headers and body."""
         now = trio.current_time()
         request = CallerRequest(
             b"GET",
@@ -343,7 +349,7 @@
             next(self._ids),
             now + DEADLINE_S,
         )
-        return await self.gateways[0].app._answer(
+        return await self.callers[caller].app._answer(
             request, self.route, self._routes, now
         )
 
@@ -352,14 +358,14 @@
     raise exc
 
 
-def run_simulation(gateways, servers, play, seed=1):
+def run_simulation(gateways, servers, play, seed=1, callers=1):
     """Run ``play(simulation)`` until nothing is on its way; return the simulation."""
 
     async def main():
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
                 simulation = GatheringSimulation(
-                    nursery, gateways, servers, random.Random(seed)
+                    nursery, gateways, servers, random.Random(seed), callers
                 )
                 rpc.Channel._open, opened = (
                     functools.partialmethod(_open_simulated, simulation),
