--- a/src/wisteriaworks/experiment.py
+++ b/src/wisteriaworks/experiment.py
@@ -117,10 +117,12 @@
             case Action.START_ENTRY:
                 settings_by_name = {cfg.name: cfg for cfg in system.entry_settings}
                 await system.start_entry(settings_by_name[step.target])
+            case Action.FREEZE_ENTRY | Action.THAW_ENTRY:
+                is_frozen = step.action is Action.FREEZE_ENTRY
+                system.entries[step.target].set_frozen(is_frozen)
             case Action.FREEZE_CONTROL | Action.THAW_CONTROL:
-                system.set_control_frozen(
-                    step.target, step.action is Action.FREEZE_CONTROL
-                )
+                is_frozen = step.action is Action.FREEZE_CONTROL
+                system.controls[step.target].set_frozen(is_frozen)
             case Action.FAULT:
                 await system.inject_fault(**step.fault)
 
--- a/src/wisteriaworks/local_system.py
+++ b/src/wisteriaworks/local_system.py
@@ -184,11 +184,6 @@
                         return
                 await trio.sleep(CONTROL_POLL_INTERVAL_S)
 
-    def set_control_frozen(self, name, frozen):
-        """Freeze a control member, or thaw it."""
-        signal_number = signal.SIGSTOP if frozen else signal.SIGCONT
-        self.controls[name].send_signal(signal_number)
-
     async def start_entry(self, cfg):
         """Start one entry and wait until it is ready."""
         path = self._write_settings(cfg.name, cfg)
--- a/src/wisteriaworks/processes.py
+++ b/src/wisteriaworks/processes.py
@@ -101,6 +101,10 @@
         self.send_signal(signal.SIGKILL)
         await self.wait()
 
+    def set_frozen(self, is_frozen):
+        """Freeze the program, or thaw it."""
+        self.send_signal(signal.SIGSTOP if is_frozen else signal.SIGCONT)
+
     def send_signal(self, number):
         """Send a signal unless the program has ended."""
         if self._process.poll() is None:
--- a/tests/test_control_system.py
+++ b/tests/test_control_system.py
@@ -93,9 +93,9 @@
 async def freeze_leader(system, operators):
     """A leader that was suspended must not revert changes when it resumes."""
     leader = await find_leader(system)
-    system.set_control_frozen(leader.name, True)
+    system.controls[leader.name].set_frozen(True)
     await operators.wait_for_progress()
-    system.set_control_frozen(leader.name, False)
+    system.controls[leader.name].set_frozen(False)
     await operators.wait_for_progress()
 
 
